--- a/src/choice.rs
+++ b/src/choice.rs
@@ -101,6 +101,17 @@
     mean
 }
 
+/// Hosts whose calls for the list need no spreading.
+const ASK_TOGETHER: usize = 8;
+
+/// The time over which hosts spread their calls for the list: an even gap for each beyond a few, well inside
+/// what the rules allow. One service of fixed capacity answers all hosts in turn; a fleet that starts, or
+/// finds it failing, together would outrun it, and keep it so by asking anew.
+fn ask_spread(set: &Settings) -> u64 {
+    let gaps = set.hosts.saturating_sub(ASK_TOGETHER) as u64;
+    (set.ask_within / 128 * gaps).min(set.ask_within / 4 * 3)
+}
+
 /// A class's latency law.
 #[derive(Default)]
 struct Law {
@@ -372,8 +383,10 @@
         let order = |c: &Class| (aimed(c), c.worth.max(0.0).to_bits(), std::cmp::Reverse(c.aim));
         let background = (0..set.classes.len()).min_by_key(|i| order(&set.classes[*i])).unwrap_or(0);
         let aims = set.classes.iter().map(|c| c.aim).filter(|aim| *aim > 0);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let first_ask = set.list_on_request.then(|| now + rng.u64(0..=ask_spread(&set)));
         Scheduler {
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             started: now,
             now,
             laws: set.classes.iter().map(|_| Law::default()).collect(),
@@ -383,7 +396,7 @@
             top_worth: set.classes.iter().map(|c| c.worth).fold(1e-9, f64::max)
                 * set.plans.iter().map(|p| p.price).fold(1e-9, f64::max),
             alpha: 1.0,
-            watch_at: set.list_on_request.then_some(now),
+            watch_at: first_ask,
             set,
             ..Scheduler::default()
         }
@@ -434,8 +447,10 @@
 
     fn listed(&mut self, form: ListForm, entries: &[NodeEntry]) {
         if form == ListForm::Failed {
-            // The subscription may be broken: ask anew, well inside the time that the rules allow.
-            let pause = (self.set.ask_within / 32).max(self.set.tick) << self.watch_failures.min(3);
+            // The subscription may be broken: ask anew, well inside the time that the rules allow, four times
+            // that time after a failed call.
+            let least = ask_spread(&self.set).max(self.set.ask_within / 32).max(self.set.tick);
+            let pause = (least << self.watch_failures.min(3)).min(self.set.ask_within.max(least));
             self.watch_failures += 1;
             self.watch_at = Some(self.now + pause / 2 + self.rng.u64(0..=pause / 2));
             return;
--- a/tests/many_hosts.rs
+++ b/tests/many_hosts.rs
@@ -276,3 +276,47 @@
     });
     assert_eq!(to.as_deref(), Some("n1"));
 }
+
+/// Hosts that start together, and whose calls discovery fails together, come one by one: no second in which
+/// more of them ask than one such service answers, and none that goes without asking past what the rules allow.
+#[test]
+fn a_fleet_spreads_its_calls_for_the_list() {
+    let hosts = 100;
+    let set = Settings { hosts, list_on_request: true, ..settings() };
+    let mut w = World::new(set.clone());
+    let mut asked: Vec<Vec<u64>> = vec![Vec::new(); hosts];
+    w.list_all(ListForm::Cached, &[entry("n0", 0, Readiness::Live, 0)]);
+    let begun = w.now;
+    let mut wakes: Vec<u64> = vec![begun; hosts];
+    while w.now < begun + 30 * SECOND {
+        for host in 0..hosts {
+            if wakes[host] > w.now {
+                continue;
+            }
+            let mut actions = Vec::new();
+            w.hosts[host].handle(w.now, &[Event::Timer(0)], &mut actions);
+            for action in actions {
+                match action {
+                    Action::Watch => {
+                        asked[host].push(w.now);
+                        let failed = [Event::Nodes(ListForm::Failed, Vec::new())];
+                        w.hosts[host].handle(w.now, &failed, &mut Vec::new());
+                    }
+                    Action::Timer { after, .. } => wakes[host] = w.now + after,
+                    other => panic!("nothing else is asked of a host: {other:?}"),
+                }
+            }
+            wakes[host] = wakes[host].max(w.now + TICK);
+        }
+        w.now += TICK;
+    }
+    let mut all: Vec<u64> = asked.iter().flatten().map(|at| (at - begun) / SECOND).collect();
+    all.sort_unstable();
+    let most = all.chunk_by(|a, b| a == b).map(<[u64]>::len).max().unwrap_or(0);
+    assert!(most <= 30, "{most} calls of {hosts} hosts in one second");
+    for calls in &asked {
+        assert!(calls[0] < begun + set.ask_within, "the first call comes after {} us", calls[0] - begun);
+        assert!(calls.windows(2).all(|c| c[1] - c[0] < 4 * set.ask_within));
+        assert!(calls.len() > 1, "asked anew");
+    }
+}
