--- a/src/choice.rs
+++ b/src/choice.rs
@@ -179,6 +179,8 @@
     sent_at: u64,
     /// How long the attempts that are out have waited, at most.
     unanswered: f64,
+    /// How long attempts were out that ended unanswered since the last answer.
+    silent: f64,
     /// Failures in a row, and when the next attempt may go.
     failures: u32,
     retry_at: u64,
@@ -231,7 +233,7 @@
         if self.failures > 0 || self.per_unit.is_empty() {
             (self.wait, self.short_mean) = (wait / 2.0, per_unit);
         }
-        self.failures = 0;
+        (self.failures, self.silent) = (0, 0.0);
         self.answers += 1;
         self.wait += NODE_STEP * (wait - self.wait);
         self.short_mean += 2.0 * NODE_STEP * (per_unit - self.short_mean);
@@ -759,7 +761,14 @@
             Ending::Unreachable | Ending::Reset if n.answers == r.answers => {
                 n.failed(self.now, pause / 8, 8 * connect);
             }
-            Ending::TimedOut if n.answers == r.answers => n.failed(self.now, connect / 4, 2 * connect),
+            // An attempt that ends with its aim may have had next to no time. It is silence only once what
+            // went unanswered adds up to more than an attempt takes that may be lost.
+            Ending::TimedOut if n.answers == r.answers => {
+                n.silent += o.latency as f64;
+                if n.silent > LOST_AFTER * n.takes(units) {
+                    n.failed(self.now, connect / 4, 2 * connect);
+                }
+            }
             Ending::Unreachable | Ending::Reset => {}
             Ending::TimedOut | Ending::Error | Ending::Cancelled | Ending::NotSent => {}
         }
@@ -995,9 +1004,11 @@
         (r.sent_at, r.answers) = (self.now, node.answers);
         node.out += 1;
         // EXCEPTION: at a jammed node an attempt ends with its aim, where nodes may drop what is called off.
-        // One that must not run twice waits on, as its client may not come again.
+        // One that must not run twice waits on, as its client may not come again; so does one that has less
+        // time left than it takes: cut off it would be work in vain.
         let cut = self.set.cancel && self.set.classes[r.class].repeat != Repeat::Unsafe && node.window <= 1.0;
-        let timeout = if cut { r.aim_at.saturating_sub(self.now) } else { 0 };
+        let left = r.aim_at.saturating_sub(self.now);
+        let timeout = if cut && left as f64 >= node.takes(r.units) { left } else { 0 };
         actions.push(Action::Send { request: id, node: node.id.clone(), timeout });
     }
 }
--- a/tests/many_hosts.rs
+++ b/tests/many_hosts.rs
@@ -320,3 +320,34 @@
         assert!(calls.len() > 1, "asked anew");
     }
 }
+
+/// An attempt that had next to no time says nothing against its node: the next goes out at once, and one with
+/// less time left in its aim than an attempt takes is not cut off. Silence still speaks, once it adds up.
+#[test]
+fn attempts_cut_short_are_no_failure_of_their_node() {
+    let mut w = world(3);
+    ask(&mut w, 0, 0, 0);
+    w.step();
+    one_by_one(&mut w, 1, 20, 150_000, 0);
+    // All but 10 ms of its aim is over.
+    let expires = w.now + SECOND - 190_000;
+    w.arrive(0, arrival(100, 0, 0, expires));
+    w.step();
+    assert_eq!(w.timeouts.last(), Some(&(100, 0)), "it would be cut off in vain");
+    w.run(20_000);
+    w.end(100, Ending::TimedOut);
+    w.step();
+    ask(&mut w, 101, 0, 101);
+    w.step();
+    w.step();
+    assert_eq!(w.timeouts.last().map(|t| t.0), Some(101), "sent at once");
+    for id in 102..112 {
+        w.run(200_000);
+        if w.requests[&(id - 1)].attempts.last().is_some_and(|a| a.out) {
+            w.end(id - 1, Ending::TimedOut);
+        }
+        ask(&mut w, id, 0, u64::from(id));
+    }
+    w.run(2 * TICK);
+    assert!(w.requests[&111].attempts.is_empty(), "a silent node is left alone for a while");
+}
