--- a/src/choice.rs
+++ b/src/choice.rs
@@ -818,7 +818,14 @@
     }
 
     /// Whether a request is held but not sent any more, or for nothing, as for a limit past its aim.
+    /// EXCEPTION: one that has never been sent is given up once it is past its aim and half its time is over.
+    /// Its client then still has time to come again, while a refusal later costs more than the late answer
+    /// would earn. Guards against queues of late work that outlive a surge; answers fewer late.
     fn hopeless(&self, r: &Request) -> bool {
+        let half = r.arrived + r.expires.saturating_sub(r.arrived) / 2;
+        if r.attempts == 0 && r.out.is_none() && !r.done && self.now + self.step() >= half.max(r.aim_at) {
+            return true;
+        }
         let nothing = !r.charged || self.set.classes[r.class].late_worth <= 0.0;
         let never = || self.wait_for(r).is_none_or(|wait| self.now.saturating_add(wait) >= r.expires);
         r.out.is_none() && !r.done && (nothing && r.aim_at < self.now || !self.may_repeat(r, None) || never())
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -141,3 +141,23 @@
     let after = at(&mut s, 2 * SECOND - 400_000, &gone);
     assert!((0..60).all(|id| answer(&after, id).is_none()), "nothing is owed to who has left");
 }
+
+/// What was never sent is given up past its aim and half its time, when its client can still come again and a
+/// refusal costs no more than that; what was sent once is seen through.
+#[test]
+fn unsent_work_is_given_up_at_half_its_time() {
+    let mut w = World::new(Settings { hosts: 1, cold: None, budget: None, ..settings() });
+    w.list_all(ListForm::Cached, &[live()]);
+    w.step();
+    let came = w.now;
+    for id in 0..40 {
+        w.arrive(0, arrival(id, 0, 0, came + SECOND));
+    }
+    w.run(SECOND / 2 - 20_000);
+    assert!(w.refused.is_empty(), "held while it could still leave in time: {:?}", w.refused);
+    w.run(40_000);
+    let unsent = w.requests.values().filter(|t| t.attempts.is_empty());
+    assert!(unsent.clone().count() > 20);
+    assert!(unsent.clone().all(|t| t.finished), "given up");
+    assert!(w.requests.values().filter(|t| !t.attempts.is_empty()).all(|t| !t.finished), "seen through");
+}
