Repeat a keyed request only where its connection comes up within the window

Ruled out: a repeat at a node of another shard (all went to the node of the first attempt); a window counted from the answer (it is counted from the first send, which is earlier than the first write).

At fault: `may_repeat` in src/choice.rs compared the window with the time of the decision. It now leaves room for the connect limit, as the grace of drains does already.

Test: crossing_repeat_window. The node's queue is full when it breaks the first attempt, so that the repeat's connection comes up a second later; before, the repeat was written past its window ("n1 was sent to").

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -822,7 +822,8 @@
         }
     }
 
-    /// RULE effects: whether a request may go out (again), to this node where one is named.
+    /// RULE effects: whether a request may go out (again), to this node where one is named. What is sent now
+    /// may be written as late as connections are waited for.
     fn may_repeat(&self, r: &Request, node: Option<usize>) -> bool {
         let Some((ran, at)) = r.ran else { return true };
         match self.set.classes[r.class].repeat {
@@ -834,7 +835,7 @@
                     Scope::Zone => self.nodes[n].zone == self.nodes[ran].zone,
                     Scope::Shard => self.nodes[n].shard == self.nodes[ran].shard,
                 });
-                here && self.now < at + window
+                here && self.now + self.set.connect_timeout < at + window
             }
         }
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -14,6 +14,7 @@
 
 exchanges! {
     platform_serves
+    crossing_repeat_window
     platform_bad_requests
     platform_declined
     platform_reset
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -18,6 +18,9 @@
 
 struct Node {
     listener: Option<TcpListener>,
+    /// While it is full: the connection that fills its queue, so that the system drops whatever else comes, and
+    /// who tries finds it up only at a later try, a second on.
+    filler: Option<TcpStream>,
     /// The latest connection; earlier ones stay open, as a silent machine's would.
     streams: Vec<TcpStream>,
 }
@@ -31,6 +34,8 @@
     clients: BTreeMap<String, TcpStream>,
     /// Placeholders and what they stand for.
     known: Vec<(String, String)>,
+    /// What the request read last told of its client's time.
+    told: Option<Duration>,
     pub transcript: String,
 }
 
@@ -49,7 +54,10 @@
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             listener.set_nonblocking(true).unwrap();
             known.push((format!("{{{name}}}"), listener.local_addr().unwrap().to_string()));
-            nodes.insert(name.to_string(), Node { listener: Some(listener), streams: Vec::new() });
+            nodes.insert(
+                name.to_string(),
+                Node { listener: Some(listener), filler: None, streams: Vec::new() },
+            );
         }
         let from = Path::new("tests/exchanges").join(front);
         for file in std::fs::read_dir(from).unwrap().map(|f| f.unwrap()) {
@@ -73,7 +81,7 @@
             addresses.push(line.trim().strip_prefix("silldrift: serving on ").expect(&line).to_string());
         }
         let (clients, transcript) = (BTreeMap::new(), String::new());
-        Play { folder, program, log, addresses, nodes, clients, known, transcript }
+        Play { folder, program, log, addresses, nodes, clients, known, told: None, transcript }
     }
 
     /// Plays a whole script and returns the transcript.
@@ -130,6 +138,28 @@
             }
             ["node", name, "is", "left"] => assert_eq!(read(self.stream(name), Until::Closed), b""),
             ["node", name, "has", "nothing"] => assert!(!self.has_something(name), "{name} was sent to"),
+            ["node", name, "is", "full"] => self.fill(name),
+            ["node", name, "comes", "up"] => {
+                let node = self.nodes.get_mut(name).unwrap();
+                node.filler = None;
+                node.listener.as_ref().unwrap().accept().unwrap();
+            }
+            ["node", name, "is", "tried"] => self.until("a try", |play| play.tried(name)),
+            ["node", name, "is", "tried", "or", client, "answered"] => {
+                self.until("a try or an answer", |play| play.tried(name) || play.answered(client));
+            }
+            ["node", name, "is", "reached"] => {
+                let before = self.nodes[name].streams.len();
+                self.until("a connection", |play| {
+                    play.has_something(name);
+                    play.nodes[name].streams.len() > before
+                });
+            }
+            // The time that the request read last tells the node.
+            ["node", "is", "told", "at", "most", ms] => {
+                let told = self.told.expect("a request with a deadline");
+                assert!(told <= Duration::from_millis(ms.parse().unwrap()), "told {told:?}");
+            }
             ["file", name] => {
                 std::fs::write(self.folder.join(name), fill(content.into(), &self.known)).unwrap();
             }
@@ -178,6 +208,40 @@
         self.record(&text);
     }
 
+    fn fill(&mut self, name: &str) {
+        let node = self.nodes.get_mut(name).unwrap();
+        let listener = node.listener.as_ref().unwrap();
+        socket2::SockRef::from(listener).listen(0).unwrap();
+        node.filler = Some(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+    }
+
+    /// Whether a connection to the node is on its way and not up.
+    fn tried(&self, name: &str) -> bool {
+        const SYN_SENT: &str = "02";
+        let port = self.nodes[name].listener.as_ref().unwrap().local_addr().unwrap().port();
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        table.lines().any(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            fields[2].ends_with(&format!(":{port:04X}")) && fields[3] == SYN_SENT
+        })
+    }
+
+    fn answered(&self, client: &str) -> bool {
+        let stream = &self.clients[client];
+        stream.set_nonblocking(true).unwrap();
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        peeked.is_ok()
+    }
+
+    fn until(&mut self, what: &str, mut done: impl FnMut(&mut Play) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !done(self) {
+            assert!(Instant::now() < end, "waited for {what}; so far:\n{}", self.transcript);
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     fn stream(&mut self, name: &str) -> &mut TcpStream {
         self.nodes.get_mut(name).unwrap().streams.last_mut().expect("a connection")
     }
@@ -203,11 +267,7 @@
 
     /// The node's connection on which something has come.
     fn ready(&mut self, name: &str) -> &mut TcpStream {
-        let end = Instant::now() + PATIENCE;
-        while !self.has_something(name) {
-            assert!(Instant::now() < end, "nothing comes to {name}; so far:\n{}", self.transcript);
-            std::thread::sleep(Duration::from_millis(2));
-        }
+        self.until(&format!("something for {name}"), |play| play.has_something(name));
         self.stream(name)
     }
 
@@ -216,6 +276,10 @@
         for line in text.clone().lines().take_while(|l| !l.is_empty()) {
             let Some((name, value)) = line.split_once(": ") else { continue };
             let name = name.to_lowercase();
+            if name == "req-deadline" {
+                let told = value.strip_suffix('u').and_then(|us| us.parse().ok());
+                self.told = told.map(Duration::from_micros);
+            }
             if MASKED.contains(&name.as_str()) {
                 text = text.replace(line, &format!("{name}: ~"));
             } else if NAMED.contains(&name.as_str()) && !self.known.iter().any(|k| k.1 == value) {
