Decide at the moment of writing whether an attempt may begin and what time it tells

An attempt that has to wait for its connection was written with what held when it was handed over: the time left then, and a client that was there then.

- A client's departure reached an attempt only by way of Cancel, which the module sends only where nodes stop what is called off.
Elsewhere the attempt began for nobody once its connection was up.
- An attempt called off before it was written whole was reported as a node that cannot be reached, which shut the node's window to one.
It says nothing of the node.
- Where the call-off and the connect were ready in one turn, either could win; now the call-off does.

The request is now made when the connection is up, and only while its request is wanted: the core ends that with the final answer or the client's departure. The connection is kept.

Ruled out: the window from taking a pooled connection to the write. Both happen in one turn of the loop.

Tests, both with a node whose full queue lets the connection come up a second late: crossing_left_while_connecting (before: "n1 was sent to") and crossing_time_left (before: "told 4.889557s" of 4.9 s, at least one of them gone).

--- a/src/program/object.rs
+++ b/src/program/object.rs
@@ -359,7 +359,7 @@
 
 impl Carrier<Payload> for ToNodes {
     fn carry(&mut self, attempt: Attempt<Payload>) {
-        let Attempt { request, number, node, payload, until, called_off } = attempt;
+        let Attempt { request, number, node, payload, until, called_off, wanted } = attempt;
         let router = self.router.clone();
         let Some(peer) = self.nodes.peer(&node) else {
             return router.report(request, number, Report::without_answer(Ending::Unreachable));
@@ -370,7 +370,10 @@
         let streams = fits.clone();
         let mut begun: Option<NodeAnswer> = None;
         peer.carry(Job {
-            request: payload.sending.encode(until.saturating_duration_since(Instant::now())),
+            begin: Box::new(move || {
+                let left = until.saturating_duration_since(Instant::now());
+                wanted.get().then(|| payload.sending.encode(left))
+            }),
             until,
             called_off,
             stall: self.figures.stall,
--- a/src/program/platform.rs
+++ b/src/program/platform.rs
@@ -161,13 +161,16 @@
 
 impl Carrier<Passed> for ToNodes {
     fn carry(&mut self, attempt: Attempt<Passed>) {
-        let Attempt { request, number, node, payload, until, called_off } = attempt;
+        let Attempt { request, number, node, payload, until, called_off, wanted } = attempt;
         let router = self.router.clone();
         let Some(peer) = self.nodes.peer(&node) else {
             return router.report(request, number, Report::without_answer(Ending::Unreachable));
         };
         peer.carry(Job {
-            request: platform::encode(&payload, until.saturating_duration_since(Instant::now())),
+            begin: Box::new(move || {
+                let left = until.saturating_duration_since(Instant::now());
+                wanted.get().then(|| platform::encode(&payload, left))
+            }),
             until,
             called_off,
             stall: STALL,
@@ -193,7 +196,7 @@
 pub fn ending(end: &End) -> Ending {
     match end {
         End::Answered(_) | End::Began(_) | End::Finished => Ending::Ok,
-        End::NoRoom => Ending::NotSent,
+        End::NoRoom | End::NotBegun => Ending::NotSent,
         End::Unreachable => Ending::Unreachable,
         End::Reset => Ending::Reset,
         // The node is well, and said so.
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,4 +1,4 @@
-use super::{Answer, Attempt, Clock, Report};
+use super::{Answer, Attempt, Clock, Report, Wanted};
 use crate::api::{Action, Arrival, Ending, Event, ListForm, NodeEntry, NodeId, Outcome, Settings};
 use crate::choice::Scheduler;
 use rustc_hash::FxHashMap;
@@ -161,6 +161,7 @@
     payload: Rc<P>,
     /// Until the final answer is given.
     answer: Option<oneshot::Sender<Answer<R>>>,
+    wanted: Wanted,
     expires: u64,
     attempts: u32,
     out: Vec<Out>,
@@ -235,6 +236,7 @@
                 let open = Open {
                     payload: Rc::new(payload),
                     answer: Some(answer),
+                    wanted: Wanted::new(),
                     expires: arrival.expires,
                     attempts: 0,
                     out: Vec::new(),
@@ -243,7 +245,7 @@
                 Event::Arrived(arrival)
             }
             Mail::Gone(request) => {
-                self.open.get_mut(&request).and_then(|o| o.answer.take())?;
+                self.settle(request)?;
                 count(&self.tally.gone);
                 self.forget(request);
                 Event::ClientGone(request)
@@ -327,13 +329,21 @@
         open.out.push(Out { number, node: node.clone(), sent_at: now, call_off: Some(call_off) });
         let until = if timeout == 0 { open.expires } else { open.expires.min(now + timeout) };
         let (payload, until) = (open.payload.clone(), self.clock.instant(until));
-        carrier.carry(Attempt { request, number, node, payload, until, called_off });
+        let wanted = open.wanted.clone();
+        carrier.carry(Attempt { request, number, node, payload, until, called_off, wanted });
         None
     }
 
+    /// Takes the place of the final answer, if one is still owed: from now on no attempt may begin.
+    fn settle(&mut self, request: u32) -> Option<oneshot::Sender<Answer<R>>> {
+        let open = self.open.get_mut(&request)?;
+        open.wanted.end();
+        open.answer.take()
+    }
+
     /// Gives the final answer, once: what comes later finds none owed.
     fn answer(&mut self, request: u32, answer: Answer<R>) {
-        let Some(sender) = self.open.get_mut(&request).and_then(|o| o.answer.take()) else { return };
+        let Some(sender) = self.settle(request) else { return };
         let counter = match answer {
             Answer::Served(_) => &self.tally.served,
             Answer::Refused { .. } => &self.tally.refused,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,6 +11,7 @@
 pub use clock::Clock;
 
 use crate::api::{Ending, Load, NodeId};
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -29,6 +30,26 @@
     Failed,
 }
 
+/// Whether a request still lacks its final answer and its client still waits for it. An attempt asks this when
+/// its connection is up: it may have been on its way to that for long, and must not begin for nobody.
+#[derive(Clone, Debug)]
+pub struct Wanted(Rc<Cell<bool>>);
+
+impl Wanted {
+    fn new() -> Self {
+        Wanted(Rc::new(Cell::new(true)))
+    }
+
+    fn end(&self) {
+        self.0.set(false);
+    }
+
+    /// Whether an attempt may still begin.
+    pub fn get(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// One attempt at a request, on its way to a storage node.
 #[derive(Debug)]
 pub struct Attempt<P> {
@@ -44,6 +65,8 @@
     pub until: Instant,
     /// Resolves once the attempt is called off.
     pub called_off: oneshot::Receiver<()>,
+    /// Whether it may still begin.
+    pub wanted: Wanted,
 }
 
 /// How an attempt ended, as its carrier saw it.
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -25,8 +25,9 @@
 
 /// One exchange with the peer.
 pub struct Job {
-    /// The request, sent once.
-    pub request: Request<Full<Bytes>>,
+    /// Makes the request when its connection is up, so that it tells the time that is left then; it is sent
+    /// once. None: nobody waits for it any more, and it must not begin.
+    pub begin: Box<dyn FnMut() -> Option<Request<Full<Bytes>>>>,
     /// When to give it up.
     pub until: Instant,
     /// Resolves once it is called off.
@@ -52,6 +53,9 @@
     Finished,
     /// No descriptor is left for it.
     NoRoom,
+    /// Called off or no longer wanted before it was written whole: the peer has not begun it, and that says
+    /// nothing of the peer.
+    NotBegun,
     /// Never written whole: the peer has not begun it.
     Unreachable,
     /// Broke after it was written.
@@ -214,8 +218,9 @@
             // Not connected by the end of its time, or called off before: it never ran.
             let by = job.until.min(began + limits.connect);
             let opened = tokio::select! {
+                biased;
+                _ = &mut job.called_off => return (job.tell)(End::NotBegun),
                 opened = tokio::time::timeout_at(by, Conn::open(address)) => opened,
-                _ = &mut job.called_off => return (job.tell)(End::Unreachable),
             };
             match opened {
                 Ok(Ok(conn)) => Pooled { conn, used: began, _permit: permit },
@@ -223,11 +228,16 @@
             }
         }
     };
-    let (end, whole) = talk(&mut job, &mut pooled.conn).await;
+    let (end, whole) = match (job.begin)() {
+        Some(request) => talk(&mut job, &mut pooled.conn, request).await,
+        // The connection is as good as before.
+        None => (End::NotBegun, true),
+    };
     let sent = pooled.conn.sent();
     let end = match end {
         // Given up before its last byte was out: it never ran.
-        End::TimedOut | End::Cancelled if !sent => End::Unreachable,
+        End::TimedOut if !sent => End::Unreachable,
+        End::Cancelled if !sent => End::NotBegun,
         end => end,
     };
     if let Some(mailbox) = back.upgrade() {
@@ -245,8 +255,7 @@
 }
 
 /// The end of the job, and whether the connection can be used again.
-async fn talk(job: &mut Job, conn: &mut Conn) -> (End, bool) {
-    let mut request = std::mem::replace(&mut job.request, Request::new(Full::default()));
+async fn talk(job: &mut Job, conn: &mut Conn, mut request: Request<Full<Bytes>>) -> (End, bool) {
     let interim = Arc::new(AtomicBool::new(false));
     let told = interim.clone();
     hyper::ext::on_informational(&mut request, move |_| told.store(true, Ordering::Relaxed));
@@ -256,6 +265,8 @@
     let mut stalls: Option<Instant> = None;
     let answered = loop {
         tokio::select! {
+            biased;
+            _ = &mut job.called_off => return (End::Cancelled, false),
             answer = &mut exchange => break answer,
             () = listener.heard(), if stalls.is_none() => stalls = Some(Instant::now() + job.stall),
             () = tokio::time::sleep_until(job.until) => return (End::TimedOut, false),
@@ -267,7 +278,6 @@
                 listener.forget();
                 stalls = None;
             }
-            _ = &mut job.called_off => return (End::Cancelled, false),
         }
     };
     let (head, mut body) = match answered {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -14,7 +14,9 @@
 
 exchanges! {
     platform_serves
+    crossing_left_while_connecting
     crossing_repeat_window
+    crossing_time_left
     platform_bad_requests
     platform_declined
     platform_reset
