Hear of a client that leaves behind bytes it sent on, and answer half-read requests at the end

Two crossings on a client's connection, found by reading hyper's read path and forced by tests.

While a request is open, hyper looks for the end of the connection only as long as nothing stands behind the request (`mid_message_detect_eof` returns with a read buffer that is not empty). A client that had sent on and left was noticed only when all before it had been answered, and a broken attempt was repeated for it. The connection now reads ahead while a request is open, up to a buffer; beyond that it asks the socket every 50 ms, half of the 0.1 s that the platform allows. When idle connections are closed for the end, hyper counts as idle a kept connection on which half a request has been read, and drops that half. The place knows better; the request is read to its end, answered, and its answer closes the connection. Ruled out: a first request of a connection, which hyper does wait for.

At fault: `connection` in src/transport/server.rs.

Tests: crossing_left_behind_bytes (before: "n1 was sent to") and short_half_sent_at_the_end (before: closed with no answer).

--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,3 +1,4 @@
+use super::Shared;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -93,35 +94,19 @@
 
 impl AsyncRead for Metered {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            std::task::ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                read => {
-                    if read? > 0 {
-                        self.meter.heard.set(true);
-                        self.meter.hears.notify_one();
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-            }
+        if std::task::ready!(self.stream.poll_read_once(cx, |s| s.try_read_buf(buf)))? > 0 {
+            self.meter.heard.set(true);
+            self.meter.hears.notify_one();
         }
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Metered {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            std::task::ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                wrote => {
-                    let wrote = wrote?;
-                    self.meter.wrote(&buf[..wrote]);
-                    return Poll::Ready(Ok(wrote));
-                }
-            }
-        }
+        let wrote = std::task::ready!(self.stream.poll_write_once(cx, |s| s.try_write(buf)))?;
+        self.meter.wrote(&buf[..wrote]);
+        Poll::Ready(Ok(wrote))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -129,7 +114,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.stream.end_writes())
     }
 }
 
--- a/src/transport/place.rs
+++ b/src/transport/place.rs
@@ -63,6 +63,16 @@
         (if state == State::Head { since } else { Instant::now() }, Serving(this.clone()))
     }
 
+    /// Whether a request has begun to come.
+    pub fn reading(&self) -> bool {
+        self.state().0 == State::Head
+    }
+
+    /// Whether a request is open.
+    pub fn busy(&self) -> bool {
+        self.state().0 == State::Busy
+    }
+
     /// From now on its place is needed at once.
     pub fn close(&self) {
         self.set(State::Closing);
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,11 +1,13 @@
 use super::place::{Place, Places};
-use super::{AnswerBody, Keeping};
+use super::{AnswerBody, Keeping, Shared};
+use bytes::BytesMut;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -14,11 +16,11 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, Sleep};
+use tokio::time::{Instant, Interval, MissedTickBehavior, Sleep};
 
 /// A connection's buffer, in bytes: the head of a request must fit into it.
 const BUFFER: usize = 16 * 1024;
@@ -32,11 +34,49 @@
 const RELIEVE: Duration = Duration::from_millis(20);
 /// A client that reads nothing for so long is given up.
 const READ_TIME: Duration = Duration::from_secs(60);
+/// How often a client that sends on and on behind its request is looked at: the platform wants nothing sent on
+/// more than 0.1 s after a client has left.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A client's socket, and what has been read of it ahead of hyper. While a request is open, hyper reads no
+/// further than one byte behind it, and hears of no departure that comes after that.
+struct Client {
+    stream: TcpStream,
+    ahead: RefCell<BytesMut>,
+}
+
+impl Client {
+    /// Ready once the client has closed the connection, or it has broken. What comes before that is kept for
+    /// hyper, which is woken for it: it may be the rest of a body.
+    fn poll_left(&self, cx: &mut Context<'_>, look: &mut Interval) -> Poll<()> {
+        let mut ahead = self.ahead.borrow_mut();
+        loop {
+            if ahead.len() >= BUFFER {
+                std::task::ready!(look.poll_tick(cx));
+                match pin!(self.stream.ready(Interest::READABLE)).poll(cx) {
+                    Poll::Ready(Ok(ready)) if !ready.is_read_closed() => continue,
+                    Poll::Ready(_) => return Poll::Ready(()),
+                    Poll::Pending => return Poll::Pending,
+                }
+            }
+            match std::task::ready!(self.stream.poll_read_ready(cx)) {
+                Ok(()) => ahead.reserve(BUFFER / 4),
+                Err(_) => return Poll::Ready(()),
+            }
+            match self.stream.try_read_buf(&mut *ahead) {
+                Ok(0) => return Poll::Ready(()),
+                Ok(_) => cx.waker().wake_by_ref(),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+}
 
 /// A client's connection whose writes fail once nothing of them has gone out for [`READ_TIME`]. Guards
 /// against clients that stop reading: their answers would keep their room in memory for ever.
 struct Patient {
-    stream: TcpStream,
+    client: Rc<Client>,
     waiting: Option<Pin<Box<Sleep>>>,
     place: Arc<Place>,
 }
@@ -53,23 +93,25 @@
 }
 
 impl AsyncRead for Patient {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.client.ahead.borrow_mut();
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if ahead.is_empty() {
+            std::task::ready!(self.client.stream.poll_read_once(cx, |s| s.try_read_buf(buf)))?;
+        } else {
+            let length = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead.split_to(length));
+        }
         if buf.filled().len() > before {
             self.place.heard();
         }
-        read
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Patient {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let wrote = self.client.stream.poll_write_once(cx, |s| s.try_write(buf));
         self.timed(cx, wrote)
     }
 
@@ -78,20 +120,21 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let wrote = self.client.stream.poll_write_once(cx, |s| s.try_write_vectored(bufs));
         self.timed(cx, wrote)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    /// What is written goes to the system at once.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.client.stream.end_writes())
     }
 }
 
@@ -214,17 +257,30 @@
             Ok::<_, Infallible>(answer.map(|body| Keeping(body, serving).boxed()))
         })
     });
-    let io = TokioIo::new(Patient { stream, waiting: None, place: place.clone() });
+    let client = Rc::new(Client { stream, ahead: RefCell::default() });
+    let mut look = tokio::time::interval(LOOK);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let io = TokioIo::new(Patient { client: client.clone(), waiting: None, place: place.clone() });
     let mut connection =
         http1::Builder::new().header_read_timeout(None).max_buf_size(BUFFER).serve_connection(io, respond);
     let mut closing = false;
     loop {
         tokio::select! {
+            biased;
             // A connection that breaks tells its request's `Pending` by dropping it.
             _ = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)) => break,
+            // So does one that its client has left behind the back of hyper.
+            () = std::future::poll_fn(|cx| match place.busy() {
+                true => client.poll_left(cx, &mut look),
+                false => Poll::Pending,
+            }) => return,
             _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => {
                 closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
+                // hyper calls a connection idle on which half a request has come after another. That request is
+                // answered, and its answer closes the connection.
+                if !place.reading() {
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
             }
             () = place.overdue() => return,
         }
@@ -232,14 +288,18 @@
     place.close();
     let time = if *phase.borrow() >= Phase::LastAnswers { LINGER_STOPPING } else { LINGER };
     // What a client sends after that is not worth waiting for.
-    let _ = tokio::time::timeout(time, linger(connection.into_parts().io.into_inner().stream)).await;
+    let _ = tokio::time::timeout(time, linger(&client.stream)).await;
 }
 
 /// Ends this side of the connection and reads what is still sent. Guards against a reset that would take the
 /// answer from a client that is still sending, as one whose body was refused by its head.
-async fn linger(mut stream: TcpStream) -> io::Result<()> {
-    stream.shutdown().await?;
+async fn linger(stream: &TcpStream) -> io::Result<()> {
+    stream.end_writes()?;
     let mut dropped = vec![0; BUFFER];
-    while tokio::time::timeout(LINGER_SILENT, stream.read(&mut dropped)).await?? > 0 {}
-    Ok(())
+    loop {
+        let read = std::future::poll_fn(|cx| stream.poll_read_once(cx, |s| s.try_read(&mut dropped)));
+        if tokio::time::timeout(LINGER_SILENT, read).await?? == 0 {
+            return Ok(());
+        }
+    }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,7 +13,9 @@
 }
 
 exchanges! {
+    short_half_sent_at_the_end
     platform_serves
+    crossing_left_behind_bytes
     crossing_left_while_connecting
     crossing_repeat_window
     crossing_time_left
