Open a silent watch anew at once, and call again where a kept connection was being closed

- A watch that fell silent was given up 1.5 s after its wait, and the next call came after the pause of a failed one: in a fleet seconds later, while what it missed counts as told 2 s after the wait.
All watches begin together with each change, so all hosts give theirs up together.
The waits now differ by the host's number (20 s to 12 s), and a silent watch is opened anew at once; the scheduler hears of it, as news may have been told already.
- A next call written on a connection that discovery was closing counted as a failure of discovery: the watch stopped for the pause, and the drain grace was lost.
It is made again on a new connection.
- A list that cannot be read was counted but not logged.

At fault: `ListActor` in src/program/list.rs.

Tests: short_list_connection_closed (before: list_failures=1) and fleet_list_silent, host 300 of 300 (before: nothing came to discovery for 20 s).

--- a/src/program/list.rs
+++ b/src/program/list.rs
@@ -3,23 +3,42 @@
 use crate::api::ListForm;
 use crate::protocol::discovery::{self, NodeList};
 use crate::routing::{Router, count};
-use crate::transport::Conn;
+use crate::transport::{Broken, Conn};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// How long a watch waits for news.
+/// How long a watch waits for news, and by how much less that of the last of many hosts.
 const WATCH: Duration = Duration::from_secs(20);
-/// How much longer its answer may take: after that it counts as told, whatever became of it.
+const WATCH_SPREAD: Duration = Duration::from_secs(8);
+/// How much longer its answer may take. What a silent watch misses counts as told 2 s after its wait.
 const ANSWER: Duration = Duration::from_millis(1_500);
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
+/// How long the watch of this host among so many waits. Watches begin together with each change and may fall
+/// silent together; they are given up, and opened anew, one by one.
+pub(super) fn watch_wait(host: usize, hosts: usize) -> Duration {
+    WATCH - WATCH_SPREAD.mul_f64(host.min(hosts) as f64 / hosts.max(1) as f64)
+}
+
+/// How a call came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lost {
+    /// No answer in all the time that a watch may take.
+    Silent,
+    /// Refused, broken, or answered with something else than a list.
+    Failed,
+}
+
 /// What the list's actor needs.
 pub struct ListActor<P, R> {
     /// Where discovery listens; it may move.
     pub discovery: watch::Receiver<SocketAddr>,
+    /// How long a watch waits for news.
+    pub wait: Duration,
     /// The list held so far.
     pub known: Option<NodeList>,
     /// Who is told.
@@ -34,7 +53,8 @@
     /// Tells the list that is known from before, then watches whenever the core asks for it, until a call
     /// fails: when to ask anew is the scheduler's to say. When discovery moves, the watch moves at once: the
     /// old address may still hold the call, but it tells nothing more, and what the new one has to tell
-    /// counts as told soon after.
+    /// counts as told soon after. A watch that has fallen silent is opened anew at once as well, as what it
+    /// missed is about to count as told; the scheduler hears of it, as that may have been told already.
     pub async fn run(self, mut asked: mpsc::UnboundedReceiver<()>) {
         let mut version = self.known.as_ref().map(|k| k.index);
         let known = self.known.as_ref().map_or(&[][..], |k| &k.endpoints);
@@ -45,7 +65,7 @@
                 ask = asked.recv() => if ask.is_none() { return },
                 Ok(()) = moved.changed() => {}
             }
-            let mut conn = None;
+            let (mut conn, mut silent) = (None, false);
             loop {
                 let list = tokio::select! {
                     list = self.call(&mut conn, version) => list,
@@ -54,10 +74,19 @@
                         continue;
                     }
                 };
-                let Some(list) = list else { break };
-                version = Some(list.index);
-                let entries = self.nodes.listed(list.form, &list.endpoints);
-                self.router.nodes(list.form, entries);
+                match list {
+                    Ok(list) => {
+                        silent = false;
+                        version = Some(list.index);
+                        let entries = self.nodes.listed(list.form, &list.endpoints);
+                        self.router.nodes(list.form, entries);
+                    }
+                    Err(Lost::Silent) if !silent => {
+                        silent = true;
+                        self.router.nodes(ListForm::Failed, Vec::new());
+                    }
+                    Err(_) => break,
+                }
             }
             // Asked for while the watch was on: it would go out at once, against the rule on asking.
             while asked.try_recv().is_ok() {}
@@ -65,40 +94,60 @@
         }
     }
 
-    async fn call(&self, conn: &mut Option<Conn>, version: Option<u64>) -> Option<NodeList> {
+    async fn call(&self, conn: &mut Option<Conn>, version: Option<u64>) -> Result<NodeList, Lost> {
         count(&self.counters.list_calls);
-        let wait = if version.is_some() { WATCH + ANSWER } else { ANSWER };
-        let body = tokio::time::timeout(wait, self.fetch(conn, version)).await.ok().flatten();
-        let Some(body) = body else {
-            count(&self.counters.list_failures);
-            return None;
+        let wait = if version.is_some() { self.wait + ANSWER } else { ANSWER };
+        let body = match tokio::time::timeout(wait, self.fetch(conn, version)).await {
+            Ok(Some(body)) => body,
+            lost => {
+                count(&self.counters.list_failures);
+                return Err(if lost.is_err() && version.is_some() { Lost::Silent } else { Lost::Failed });
+            }
         };
         match discovery::decode(&body) {
             Ok(list) => {
                 let lines = &self.counters.list_lines;
                 lines.set(lines.get() + list.endpoints.len() as u64);
-                Some(list)
+                Ok(list)
             }
-            Err(_) => {
+            Err(e) => {
                 count(&self.counters.list_malformed);
-                None
+                eprintln!("silldrift: a list that cannot be read, the one before is kept: {e}");
+                Err(Lost::Failed)
             }
         }
     }
 
-    async fn fetch(&self, held: &mut Option<Conn>, version: Option<u64>) -> Option<bytes::Bytes> {
+    async fn fetch(&self, held: &mut Option<Conn>, version: Option<u64>) -> Option<Bytes> {
         let address = *self.discovery.borrow();
-        let mut conn = match held.take().filter(Conn::usable) {
-            Some(conn) => conn,
-            // A machine that is cut off answers no connection either: that must not take a watch's time.
-            None => tokio::time::timeout(ANSWER, Conn::open(address)).await.ok()?.ok()?,
-        };
-        let answer = conn.exchange(discovery::watch(address, version, WATCH)).await.ok()?;
+        // A connection that was kept and breaks says nothing of discovery: it may have been closed just when the
+        // call was written on it. A new one will tell.
+        if let Some(conn) = held.take().filter(Conn::usable)
+            && let Ok(answer) = self.exchange(conn, held, address, version).await
+        {
+            return answer;
+        }
+        // A machine that is cut off answers no connection either: that must not take a watch's time.
+        let conn = tokio::time::timeout(ANSWER, Conn::open(address)).await.ok()?.ok()?;
+        self.exchange(conn, held, address, version).await.ok().flatten()
+    }
+
+    /// One call on this connection, which is kept for the next if the answer came whole. None: an answer, but
+    /// no list.
+    async fn exchange(
+        &self,
+        mut conn: Conn,
+        held: &mut Option<Conn>,
+        address: SocketAddr,
+        version: Option<u64>,
+    ) -> Result<Option<Bytes>, Broken> {
+        let answer = conn.exchange(discovery::watch(address, version, self.wait)).await?;
         if answer.status() != hyper::StatusCode::OK {
-            return None;
+            return Ok(None);
         }
-        let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.ok()?.to_bytes();
+        let body = Limited::new(answer.into_body(), LIST_MOST).collect().await;
+        let Ok(body) = body else { return Ok(None) };
         *held = Some(conn);
-        Some(body)
+        Ok(Some(body.to_bytes()))
     }
 }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -2,7 +2,7 @@
 use super::config::Config;
 use super::counters::Counters;
 use super::inventory::{self, InventoryActor, Racks};
-use super::list::ListActor;
+use super::list::{ListActor, watch_wait};
 use super::nodes::Nodes;
 use super::operator::Operator;
 use super::{object, platform};
@@ -235,11 +235,13 @@
     let (limits, pools) = share(config.sockets, connect, idle);
     let nodes = Nodes::new(pools, config.zones);
     let come_back = config.settings.max_retry_after;
+    let wait = watch_wait(config.settings.host, config.settings.hosts);
     let (core, router) = Core::new(config.settings, config.seed, clock, counters.tally.clone());
     let (ask, asked) = mpsc::unbounded_channel();
     let (move_to, discovery) = watch::channel(config.discovery);
     let list = ListActor {
         discovery,
+        wait,
         known: config.known,
         nodes: nodes.clone(),
         router: router.clone(),
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -14,6 +14,8 @@
 
 exchanges! {
     short_half_sent_at_the_end
+    short_list_connection_closed
+    fleet_list_silent
     platform_serves
     crossing_left_behind_bytes
     crossing_left_while_connecting
