Take chunked writes, which the gateway refused, and only refuse a length stated twice

Cause: hyper takes Content-Length away from a chunked request, so that one with both, which may hide another request, could not be told apart, and all chunked ones were refused.

The heads are now followed on the way to hyper (`Framing`), no further than to see whether both stand in one. The connection closes after a chunked request, as before, so nothing behind one is ever read as a request. Chunks are undone here; nodes get a plain length. Reads in chunks and other codings are still refused.

Tests: platform_chunks (before: 411), the unit test of `Framing`.

--- a/src/program/platform.rs
+++ b/src/program/platform.rs
@@ -94,7 +94,7 @@
             return (StatusCode::SERVICE_UNAVAILABLE, text, self.come_back);
         }
         let (head, body) = request.into_parts();
-        let ask = match platform::decode(&head, &self.names) {
+        let ask = match platform::decode(&head, coming.doubled, &self.names) {
             Ok(ask) => ask,
             Err(e) => {
                 count(&self.counters.bad_requests);
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -37,7 +37,7 @@
     #[error("reads use GET, writes use PUT")]
     Kind,
     /// The body's length is not stated in one plain way: it could hide another request.
-    #[error("Content-Length is needed, and no Transfer-Encoding")]
+    #[error("the body's length is to be stated once, or its chunks tell it")]
     Length,
     /// A header is missing, twice there or not readable.
     #[error("{0} is missing or malformed")]
@@ -99,13 +99,20 @@
     number.parse::<u64>().ok()?.checked_mul(factor)
 }
 
-/// Reads the head of a client's request.
-pub fn decode(head: &Parts, names: &Names) -> Result<Ask, BadAsk> {
+/// Reads the head of a client's request, which is `doubled` if it states the length of its body twice.
+pub fn decode(head: &Parts, doubled: bool, names: &Names) -> Result<Ask, BadAsk> {
     if head.method != Method::GET && head.method != Method::PUT {
         return Err(BadAsk::Method);
     }
     let headers = &head.headers;
-    if headers.contains_key(TRANSFER_ENCODING) {
+    // Chunks are undone here, and nodes get a plain length. Reads have no body to send in chunks.
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let plain = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(only), None) => only.as_bytes().eq_ignore_ascii_case(b"chunked") && head.method == Method::PUT,
+        _ => false,
+    };
+    if doubled || !plain {
         return Err(BadAsk::Length);
     }
     text(headers, "req-id")?;
--- /dev/null
+++ b/src/transport/framing.rs
@@ -0,0 +1,120 @@
+//! Finds requests that state the length of their body twice.
+
+/// Of each line so much is kept: enough for the names and figures that count here.
+const LINE_KEPT: usize = 64;
+
+/// What comes next on the connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Next {
+    /// A request line, or blank lines before it.
+    #[default]
+    Start,
+    /// The lines of a head.
+    Head,
+    /// So much of a body.
+    Body(u64),
+    /// Nothing that matters: after a chunked request the connection is closed.
+    End,
+}
+
+/// Follows the heads that come on a client's connection. hyper drops `Content-Length` from a chunked request,
+/// so that it cannot be told from one that stated its length once; but a body whose length is stated twice may
+/// hide another request.
+#[derive(Debug, Default)]
+pub struct Framing {
+    next: Next,
+    line: Vec<u8>,
+    /// What the head in hand states.
+    length: Option<u64>,
+    chunked: bool,
+    doubled: bool,
+}
+
+impl Framing {
+    /// These bytes have come.
+    pub fn feed(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            match self.next {
+                Next::End => return,
+                Next::Body(left) => {
+                    let length = usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len());
+                    bytes = &bytes[length..];
+                    let left = left - length as u64;
+                    self.next = if left == 0 { Next::Start } else { Next::Body(left) };
+                }
+                Next::Start | Next::Head => {
+                    let end = bytes.iter().position(|b| *b == b'\n');
+                    let part = &bytes[..end.unwrap_or(bytes.len())];
+                    let room = LINE_KEPT.saturating_sub(self.line.len());
+                    self.line.extend_from_slice(&part[..part.len().min(room)]);
+                    bytes = &bytes[end.map_or(bytes.len(), |at| at + 1)..];
+                    if end.is_some() {
+                        let line = std::mem::take(&mut self.line);
+                        self.line_ended(line.trim_ascii_end());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the chunked request on this connection, always its last, states a length as well.
+    pub fn doubled(&self) -> bool {
+        self.doubled
+    }
+
+    fn line_ended(&mut self, line: &[u8]) {
+        match (self.next, line.is_empty()) {
+            (Next::Start, true) => {}
+            (Next::Start, false) => self.next = Next::Head,
+            (_, true) => {
+                let length = self.length.take();
+                self.doubled = self.chunked && length.is_some();
+                self.next = match length {
+                    _ if self.chunked => Next::End,
+                    None | Some(0) => Next::Start,
+                    Some(length) => Next::Body(length),
+                };
+            }
+            (_, false) => {
+                let mut halves = line.splitn(2, |b| *b == b':');
+                let (name, value) = (halves.next().unwrap_or_default(), halves.next().unwrap_or_default());
+                if name.eq_ignore_ascii_case(b"transfer-encoding") {
+                    self.chunked = true;
+                } else if name.eq_ignore_ascii_case(b"content-length") {
+                    // hyper takes no request whose length is not a plain figure, or differs from another.
+                    let figure = std::str::from_utf8(value.trim_ascii()).ok();
+                    self.length = Some(figure.and_then(|f| f.parse().ok()).unwrap_or(0));
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Framing;
+
+    #[test]
+    fn a_length_stated_twice_is_found_however_the_bytes_are_cut() {
+        let (length, chunked) = ("Content-length: 3\r\n", "TRANSFER-ENCODING:chunked\r\n");
+        let first = format!(
+            "\r\nPUT /a HTTP/1.1\r\n{length}\r\n\r\n\nGET /b HTTP/1.1\r\nx: {}\r\n\r\n",
+            "y".repeat(99)
+        );
+        for (heads, doubled) in [
+            (format!("{length}{chunked}"), true),
+            (format!("{chunked}{length}"), true),
+            (format!("{chunked}x: content-length: 3\r\n"), false),
+            (length.to_string(), false),
+        ] {
+            let text =
+                format!("{first}PUT /c HTTP/1.1\r\n{heads}\r\n0\r\n\r\nPUT /d HTTP/1.1\r\n{length}{chunked}");
+            for cut in 0..text.len() {
+                let mut framing = Framing::default();
+                framing.feed(&text.as_bytes()[..cut]);
+                framing.feed(&text.as_bytes()[cut..]);
+                assert_eq!(framing.doubled(), doubled, "{text:?} cut at {cut}");
+            }
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: the server side, connections to storage nodes, their pools, and nothing of what they carry.
 
 mod client;
+mod framing;
 mod peer;
 mod place;
 mod server;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,3 +1,4 @@
+use super::framing::Framing;
 use super::place::{Place, Places};
 use super::{AnswerBody, Keeping, Shared};
 use bytes::BytesMut;
@@ -43,6 +44,7 @@
 struct Client {
     stream: TcpStream,
     ahead: RefCell<BytesMut>,
+    framing: RefCell<Framing>,
 }
 
 impl Client {
@@ -103,6 +105,7 @@
             buf.put_slice(&ahead.split_to(length));
         }
         if buf.filled().len() > before {
+            self.client.framing.borrow_mut().feed(&buf.filled()[before..]);
             self.place.heard();
         }
         Poll::Ready(Ok(()))
@@ -169,6 +172,8 @@
     pub standing: Standing,
     /// When the first of its bytes came.
     pub began: Instant,
+    /// It comes in chunks and states the length of its body as well.
+    pub doubled: bool,
 }
 
 /// What a request finds.
@@ -242,22 +247,23 @@
     // Without it answers would only be slower.
     let _ = stream.set_nodelay(true);
     let now = phase.clone();
+    let client = Rc::new(Client { stream, ahead: RefCell::default(), framing: RefCell::default() });
     let respond = service_fn(|request| {
         let (began, serving) = Place::begin(place);
         let standing = if places.welcomes(place) { Standing::Welcome } else { Standing::Overload };
         // Whatever stands behind a body without a stated length may be the rest of it to others on the way.
-        let doubtful = request.headers().contains_key(TRANSFER_ENCODING);
-        let answer = service(request, Coming { standing, began });
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let doubled = chunked && client.framing.borrow().doubled();
+        let answer = service(request, Coming { standing, began, doubled });
         let now = &now;
         Box::pin(async move {
             let mut answer = answer.await;
-            if doubtful || standing == Standing::Overload || *now.borrow() >= Phase::LastAnswers {
+            if chunked || standing == Standing::Overload || *now.borrow() >= Phase::LastAnswers {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer.map(|body| Keeping(body, serving).boxed()))
         })
     });
-    let client = Rc::new(Client { stream, ahead: RefCell::default() });
     let mut look = tokio::time::interval(LOOK);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let io = TokioIo::new(Patient { client: client.clone(), waiting: None, place: place.clone() });
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -27,6 +27,7 @@
     platform_rude
     platform_spoilt
     platform_surplus
+    platform_chunks
     platform_client_leaves
     platform_list
     platform_list_down
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -111,6 +111,11 @@
                 let stream = self.clients.entry(name.into()).or_insert_with(connect);
                 stream.write_all(content.as_bytes()).unwrap();
             }
+            // A chunk of a body; an empty one is its end.
+            ["client", name, "adds", "chunk"] => {
+                let chunk = format!("{:x}\r\n{content}\r\n", content.len());
+                self.clients.get_mut(name).unwrap().write_all(chunk.as_bytes()).unwrap();
+            }
             ["clients", count, "are", "silent"] => {
                 for number in 0..count.parse::<usize>().unwrap() {
                     let stream = TcpStream::connect(&self.addresses[0]).unwrap();
