--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for stage in replay endless refused; do
+for stage in replay endless restart; do
   rustc --edition 2024 -O -o "bin/$stage" "standins/$stage.rs"
 done
