--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -58,7 +58,7 @@
 pub fn play(stage: impl FnOnce(&Arguments, &Record, &TemporaryFolder) -> Vec<String> + std::panic::UnwindSafe) -> ! {
     let result = std::panic::catch_unwind(|| {
         let arguments = arguments();
-        let record = Record::create(&arguments.case.join("record.txt"));
+        let record = Record::create(&arguments.record);
         let folder = TemporaryFolder::create();
         record.say(if arguments.trouble { "with the disruption" } else { "without the disruption (TROUBLE=0)" });
         let breaks = stage(&arguments, &record, &folder);
@@ -75,10 +75,10 @@
     })
 }
 
-/// What `run.sh` passes to every stage: the folder of the case, the root of the project, the command `run` of
+/// What `run.sh` passes to every stage: the path of the case's `record.txt`, the root of the project, the command `run` of
 /// the deploy file, and whether the disruption is played.
 pub struct Arguments {
-    pub case: PathBuf,
+    pub record: PathBuf,
     pub root: PathBuf,
     pub run: String,
     pub trouble: bool,
@@ -86,9 +86,9 @@
 
 pub fn arguments() -> Arguments {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [case, root, run] = <[String; 3]>::try_from(arguments).unwrap_or_else(|_| cannot_run("three arguments"));
+    let [record, root, run] = <[String; 3]>::try_from(arguments).unwrap_or_else(|_| cannot_run("three arguments"));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    Arguments { case: case.into(), root: root.into(), run, trouble }
+    Arguments { record: record.into(), root: root.into(), run, trouble }
 }
 
 /// A folder that is removed at the end.
--- a/review/standins/replay.rs
+++ b/review/standins/replay.rs
@@ -59,6 +59,7 @@
     let Ok(mut stream) = TcpStream::connect(gateway) else { return };
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+    record.line(&format!("bad client, id {id:016x}: sends a copy, and again whenever it is turned away"));
     let (started, mut rest, mut turned_away) = (Instant::now(), Vec::new(), 0);
     while started.elapsed() < BAD_CLIENT_STAYS {
         if stream.write_all(&payment(id)).is_err() {
