Move the state of a client connection out of the connection table

The table's file held the state machine and the timeouts of one connection beside the limits and evictions of a listener.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -1,7 +1,8 @@
 //! Serves the requests of one client connection until it is closed.
 
 use super::client_stream::{ClientStream, READ_BUFFER_LEN, ReadAhead};
-use super::connection_table::{ConnectionSlot, ConnectionTable, StartedRequest};
+use super::connection_slot::{ConnectionSlot, StartedRequest};
+use super::connection_table::ConnectionTable;
 use super::lifecycle::LifecyclePhase;
 use super::socket::SharedSocket;
 use super::{GuardedBody, ResponseBody};
--- a/src/transport/client_stream.rs
+++ b/src/transport/client_stream.rs
@@ -1,6 +1,6 @@
 //! The socket of a client connection, with a read-ahead buffer and a write timeout.
 
-use super::connection_table::ConnectionSlot;
+use super::connection_slot::ConnectionSlot;
 use super::request_framing::RequestFraming;
 use super::socket::SharedSocket;
 use bytes::BytesMut;
--- /dev/null
+++ b/src/transport/connection_slot.rs
@@ -0,0 +1,182 @@
+//! The state of one client connection, and the timeouts that depend on it.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Maximum time from the acceptance of a connection to the first byte of its first request, and from the
+/// first byte of a request to the end of its head. The platform requires that a client that never completes a
+/// request head is disconnected within 3 s.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_400);
+/// Duration after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionState {
+    /// The connection is open, and its client has not sent anything yet.
+    AwaitingFirstByte,
+    /// The head of a request has been received in part.
+    ReadingHead,
+    /// A request is in progress; its response has not been written completely.
+    ServingRequest,
+    /// A response has been written, and the next request has not begun.
+    Idle,
+    /// The connection is about to be closed; further input is discarded.
+    Closing,
+}
+
+/// The state of a connection and the time at which this state began.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlotStatus {
+    pub(super) state: ConnectionState,
+    pub(super) since: Instant,
+}
+
+impl SlotStatus {
+    fn starting_now(state: ConnectionState) -> Self {
+        SlotStatus { state, since: Instant::now() }
+    }
+}
+
+/// An entry of the connection table: the state of one connection.
+pub(super) struct ConnectionSlot {
+    id: u64,
+    /// The status is in a mutex because response bodies contain a [`RequestGuard`] and must be `Send`,
+    /// although all connections run on one thread.
+    status: Mutex<SlotStatus>,
+    /// Whether the connection has been admitted, so that all its further requests are served as well.
+    admitted: AtomicBool,
+    /// Notified when the connection is evicted.
+    evicted: Notify,
+}
+
+/// A request whose head has just been received.
+pub(super) struct StartedRequest {
+    /// Time at which hyper read the first byte of the request. If bytes of the request arrived before the
+    /// previous response ended (pipelining), it is the time of hyper's first read after that response. If
+    /// hyper had already read the complete head by then, it is the time at which the processing of the
+    /// request started.
+    pub(super) started_at: Instant,
+    /// Marks the request as in progress; must be dropped only once the response has been written.
+    pub(super) guard: RequestGuard,
+}
+
+impl ConnectionSlot {
+    /// Creates the slot of a connection that has just been accepted. `id` must be unique in its table.
+    pub(super) fn new(id: u64) -> Self {
+        ConnectionSlot {
+            id,
+            status: Mutex::new(SlotStatus::starting_now(ConnectionState::AwaitingFirstByte)),
+            admitted: AtomicBool::new(false),
+            evicted: Notify::new(),
+        }
+    }
+
+    /// Returns the id of the connection.
+    pub(super) fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Admits the connection: all its further requests are served.
+    pub(super) fn admit(&self) {
+        self.admitted.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection has been admitted.
+    pub(super) fn is_admitted(&self) -> bool {
+        self.admitted.load(Ordering::Relaxed)
+    }
+
+    /// Returns the connection's state and when it began.
+    pub(super) fn status(&self) -> SlotStatus {
+        *self.lock_status()
+    }
+
+    fn lock_status(&self) -> MutexGuard<'_, SlotStatus> {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the connection's state.
+    pub(super) fn state(&self) -> ConnectionState {
+        self.status().state
+    }
+
+    fn set_state(&self, state: ConnectionState) {
+        *self.lock_status() = SlotStatus::starting_now(state);
+    }
+
+    /// Records that bytes have been received from the client.
+    pub(super) fn record_received_bytes(&self) {
+        if matches!(self.state(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle) {
+            self.set_state(ConnectionState::ReadingHead);
+        }
+    }
+
+    /// Records that the head of a request is complete and the request is now in progress.
+    pub(super) fn start_request(self: &Arc<Self>) -> StartedRequest {
+        let previous = self.status();
+        self.set_state(ConnectionState::ServingRequest);
+        let started_at = match previous.state {
+            ConnectionState::ReadingHead => previous.since,
+            _ => Instant::now(),
+        };
+        StartedRequest { started_at, guard: RequestGuard(self.clone()) }
+    }
+
+    /// Returns whether the head of a request has been received in part.
+    pub(super) fn is_reading_head(&self) -> bool {
+        self.state() == ConnectionState::ReadingHead
+    }
+
+    /// Returns whether a request is in progress.
+    pub(super) fn is_serving_request(&self) -> bool {
+        self.state() == ConnectionState::ServingRequest
+    }
+
+    /// Records that the connection is about to be closed. It no longer counts towards the serving limit.
+    pub(super) fn start_closing(&self) {
+        self.set_state(ConnectionState::Closing);
+    }
+
+    /// Causes [`must_close`](Self::must_close) to resolve, unless a request is in progress by then.
+    pub(super) fn evict(&self) {
+        self.start_closing();
+        self.evicted.notify_one();
+    }
+
+    /// Resolves once the connection must be closed, because its client has taken too long or because it has
+    /// been evicted.
+    pub(super) async fn must_close(&self) {
+        loop {
+            let SlotStatus { state, since } = self.status();
+            let deadline = match state {
+                ConnectionState::AwaitingFirstByte | ConnectionState::ReadingHead => since + HEAD_TIMEOUT,
+                ConnectionState::Idle => since + IDLE_TIMEOUT,
+                // A request has its own deadline. This is only the time of the next check.
+                ConnectionState::ServingRequest => Instant::now() + HEAD_TIMEOUT,
+                ConnectionState::Closing => return,
+            };
+            if deadline <= Instant::now() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(deadline) => {}
+                () = self.evicted.notified() => {}
+            }
+        }
+    }
+}
+
+/// Keeps a connection in the state of serving a request until the guard is dropped.
+pub(super) struct RequestGuard(Arc<ConnectionSlot>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        if self.0.is_serving_request() {
+            self.0.set_state(ConnectionState::Idle);
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,7 +6,8 @@
 //! - `lifecycle`: the phases of the graceful shutdown;
 //! - `client_connection`: serves the requests of one connection and closes it;
 //! - `client_stream`: the socket of a client connection, with a read-ahead buffer and a write timeout;
-//! - `connection_table`: tracks the state of each connection and evicts connections at the serving limit;
+//! - `connection_slot`: the state of one connection, and the timeouts that depend on it;
+//! - `connection_table`: the connections of one listener, and their eviction at the serving limit;
 //! - `request_framing`: detects requests with both `Content-Length` and `Transfer-Encoding`;
 //! - `body`: response bodies.
 //!
@@ -21,6 +22,7 @@
 mod client_connection;
 mod client_stream;
 mod connection_pool;
+mod connection_slot;
 mod connection_table;
 mod exchange;
 mod lifecycle;
