Evict lingering and silent connections when no more connections can be accepted

Cause: a connection that lingers after an error (here 431) keeps its permit for up to 3 s, but did not count towards the serving limit, and only that limit caused evictions. With 256 descriptors there are 135 permits. 30 lingering and 105 silent connections held all of them, while the serving limit of 113 was not reached, so that nothing was evicted and nothing accepted until the silent connections timed out after 2.4 s.

Change: a full table causes evictions as well. Connections that have lingered for 100 ms go first: their clients have their response and only keep sending. Silent connections and incomplete heads follow, with their former minimum times, if that does not suffice. The lingering close ends when its connection is evicted. The limits on descriptors are unchanged.

Why it works: every state in which a connection waits for its client can now be evicted once no permit is left, whichever limit the connections add up to.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -182,10 +182,13 @@
 
     /// Performs a lingering close: gives the client time to read its response before the socket is closed.
     async fn linger(&self) {
-        self.slot.start_closing();
+        self.slot.start_lingering();
         let timeout = if self.responses_are_final() { SHUTDOWN_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
-        // Errors and timeouts are ignored: the connection is closed in any case.
-        let _ = tokio::time::timeout(timeout, discard_until_closed(self.read_ahead.stream())).await;
+        tokio::select! {
+            // Errors and timeouts are ignored: the connection is closed in any case.
+            _ = tokio::time::timeout(timeout, discard_until_closed(self.read_ahead.stream())) => {}
+            () = self.slot.evicted() => {}
+        }
     }
 }
 
--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -24,8 +24,10 @@
     ServingRequest,
     /// A response has been written, and the next request has not begun.
     Idle,
-    /// The connection is about to be closed; further input is discarded.
-    Closing,
+    /// The last response has been written. Until the connection is closed, further input is discarded.
+    Lingering,
+    /// The connection has been evicted and is about to be closed.
+    Evicted,
 }
 
 /// The state of a connection and the time at which this state began.
@@ -39,6 +41,11 @@
     fn starting_now(state: ConnectionState) -> Self {
         SlotStatus { state, since: Instant::now() }
     }
+
+    /// Returns whether the connection has been in `state` for at least `duration`.
+    pub(super) fn has_been(self, state: ConnectionState, duration: Duration) -> bool {
+        self.state == state && self.since.elapsed() >= duration
+    }
 }
 
 /// An entry of the connection table: the state of one connection.
@@ -50,7 +57,7 @@
     /// Whether the connection has been admitted, so that all its further requests are served as well.
     admitted: AtomicBool,
     /// Notified when the connection is evicted.
-    evicted: Notify,
+    eviction: Notify,
 }
 
 /// A request whose head has just been received.
@@ -71,7 +78,7 @@
             id,
             status: Mutex::new(SlotStatus::starting_now(ConnectionState::AwaitingFirstByte)),
             admitted: AtomicBool::new(false),
-            evicted: Notify::new(),
+            eviction: Notify::new(),
         }
     }
 
@@ -136,15 +143,24 @@
         self.state() == ConnectionState::ServingRequest
     }
 
-    /// Records that the connection is about to be closed. It no longer counts towards the serving limit.
-    pub(super) fn start_closing(&self) {
-        self.set_state(ConnectionState::Closing);
+    /// Records that the last response has been written. The connection no longer counts towards the serving
+    /// limit.
+    pub(super) fn start_lingering(&self) {
+        self.set_state(ConnectionState::Lingering);
     }
 
-    /// Causes [`must_close`](Self::must_close) to resolve, unless a request is in progress by then.
+    /// Causes [`must_close`](Self::must_close) and [`evicted`](Self::evicted) to resolve, unless a request is
+    /// in progress by then.
     pub(super) fn evict(&self) {
-        self.start_closing();
-        self.evicted.notify_one();
+        self.set_state(ConnectionState::Evicted);
+        self.eviction.notify_one();
+    }
+
+    /// Resolves once the connection has been evicted.
+    pub(super) async fn evicted(&self) {
+        while self.state() != ConnectionState::Evicted {
+            self.eviction.notified().await;
+        }
     }
 
     /// Resolves once the connection must be closed, because its client has taken too long or because it has
@@ -157,14 +173,14 @@
                 ConnectionState::Idle => since + IDLE_TIMEOUT,
                 // A request has its own deadline. This is only the time of the next check.
                 ConnectionState::ServingRequest => Instant::now() + HEAD_TIMEOUT,
-                ConnectionState::Closing => return,
+                ConnectionState::Lingering | ConnectionState::Evicted => return,
             };
             if deadline <= Instant::now() {
                 return;
             }
             tokio::select! {
                 () = tokio::time::sleep_until(deadline) => {}
-                () = self.evicted.notified() => {}
+                () = self.eviction.notified() => {}
             }
         }
     }
--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -1,7 +1,6 @@
-//! The client connections of a listener, and their eviction once the serving limit is reached: the maximum
-//! number of connections whose requests are served.
+//! The client connections of a listener, and their eviction once a connection limit is reached.
 
-use super::connection_slot::{ConnectionSlot, ConnectionState, SlotStatus};
+use super::connection_slot::{ConnectionSlot, ConnectionState};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,23 +12,41 @@
 const MIN_HEAD_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(1);
 /// Duration after which an idle connection can be evicted.
 const MIN_IDLE_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(2);
+/// Duration after which a lingering connection can be evicted. Until then, its client can still read the last
+/// response, which a close with unread input would discard.
+const MIN_LINGER_TIME_BEFORE_EVICTION: Duration = Duration::from_millis(100);
+
+/// Maximum numbers of open connections of one listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// The serving limit: requests are served as long as no more connections than this are open, not counting
+    /// lingering ones. A connection that has been admitted once is served until it is closed.
+    pub max_served: usize,
+    /// Maximum number of additional connections, whose requests are rejected because of overload.
+    pub max_rejected: usize,
+}
+
+impl ConnectionLimits {
+    /// Returns the maximum number of connections of any kind. Further connections are not accepted.
+    pub(super) fn max_open(self) -> usize {
+        self.max_served + self.max_rejected
+    }
+}
 
 /// The connections of one listener.
 pub(super) struct ConnectionTable {
-    /// The serving limit: the maximum number of connections whose requests are served. The table may contain
-    /// more connections.
-    max_served: usize,
+    limits: ConnectionLimits,
     next_id: Cell<u64>,
     slots: RefCell<Vec<Arc<ConnectionSlot>>>,
 }
 
 impl ConnectionTable {
-    /// Creates an empty table with the serving limit `max_served`.
-    pub(super) fn new(max_served: usize) -> Self {
-        ConnectionTable { max_served, next_id: Cell::new(0), slots: RefCell::default() }
+    /// Creates an empty table.
+    pub(super) fn new(limits: ConnectionLimits) -> Self {
+        ConnectionTable { limits, next_id: Cell::new(0), slots: RefCell::default() }
     }
 
-    /// Adds a new connection to the table, even if the serving limit has been reached.
+    /// Adds a new connection to the table, even if a limit has been reached.
     pub(super) fn insert(&self) -> Arc<ConnectionSlot> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
@@ -43,50 +60,75 @@
         self.slots.borrow_mut().retain(|other| other.id() != slot.id());
     }
 
-    /// Admits the connection if the number of open connections is within the serving limit. Returns whether
+    /// Admits the connection if the number of serving connections is within the serving limit. Returns whether
     /// the connection is admitted, now or by an earlier call, so that its requests are served.
     pub(super) fn try_admit(&self, slot: &ConnectionSlot) -> bool {
-        if self.open_count() <= self.max_served {
+        if self.serving_count() <= self.limits.max_served {
             slot.admit();
         }
         slot.is_admitted()
     }
 
-    /// Returns whether one more connection would exceed the serving limit.
-    pub(super) fn is_serving_limit_reached(&self) -> bool {
-        self.open_count() >= self.max_served
+    /// Returns whether one more connection would exceed a limit, so that its requests would be rejected or it
+    /// would not be accepted.
+    pub(super) fn is_limit_reached(&self) -> bool {
+        self.is_serving_limit_reached() || self.slots.borrow().len() >= self.limits.max_open()
     }
 
-    /// Returns the number of connections that are not closing.
-    fn open_count(&self) -> usize {
-        self.slots.borrow().iter().filter(|slot| slot.state() != ConnectionState::Closing).count()
+    fn is_serving_limit_reached(&self) -> bool {
+        self.serving_count() >= self.limits.max_served
     }
 
-    /// Evicts connections if the serving limit is reached.
+    /// Returns whether no more connections can be accepted, even once the evicted ones are closed.
+    fn is_full_after_evictions(&self) -> bool {
+        self.count(|state| state != ConnectionState::Evicted) >= self.limits.max_open()
+    }
+
+    /// Returns the number of connections that have served a request, or may still do so.
+    fn serving_count(&self) -> usize {
+        self.count(|state| !matches!(state, ConnectionState::Lingering | ConnectionState::Evicted))
+    }
+
+    fn count(&self, matches: impl Fn(ConnectionState) -> bool) -> usize {
+        self.slots.borrow().iter().filter(|slot| matches(slot.state())).count()
+    }
+
+    /// Evicts connections if a limit is reached.
+    ///
+    /// If no more connections can be accepted, first evicts every connection that has lingered for at least
+    /// [`MIN_LINGER_TIME_BEFORE_EVICTION`]: its client has its response, and only keeps sending.
     ///
-    /// First evicts every connection that was accepted at least [`MIN_SILENCE_BEFORE_EVICTION`] ago and has
-    /// not received a byte, and every connection whose request head has been incomplete for at least
-    /// [`MIN_HEAD_TIME_BEFORE_EVICTION`]. If the serving limit still does not allow one more connection,
-    /// evicts the longest idle connections until it does, except those that have been idle for less than
-    /// [`MIN_IDLE_TIME_BEFORE_EVICTION`].
+    /// If that does not suffice, or if the serving limit is reached, evicts every connection that was accepted
+    /// at least [`MIN_SILENCE_BEFORE_EVICTION`] ago and has not received a byte, and every connection whose
+    /// request head has been incomplete for at least [`MIN_HEAD_TIME_BEFORE_EVICTION`]. If the serving limit
+    /// still does not allow one more connection, evicts the longest idle connections until it does, except
+    /// those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`].
     pub(super) fn evict_stale(&self) {
-        if !self.is_serving_limit_reached() {
-            return;
+        if self.is_full_after_evictions() {
+            self.evict_all(ConnectionState::Lingering, MIN_LINGER_TIME_BEFORE_EVICTION);
         }
-        let slots = self.slots.borrow();
-        let mut idle = Vec::new();
-        for slot in slots.iter() {
-            let SlotStatus { state, since } = slot.status();
-            let elapsed = since.elapsed();
-            match state {
-                ConnectionState::AwaitingFirstByte if elapsed >= MIN_SILENCE_BEFORE_EVICTION => slot.evict(),
-                ConnectionState::ReadingHead if elapsed >= MIN_HEAD_TIME_BEFORE_EVICTION => slot.evict(),
-                ConnectionState::Idle if elapsed >= MIN_IDLE_TIME_BEFORE_EVICTION => idle.push((since, slot)),
-                _ => {}
-            }
+        if self.is_serving_limit_reached() || self.is_full_after_evictions() {
+            self.evict_all(ConnectionState::AwaitingFirstByte, MIN_SILENCE_BEFORE_EVICTION);
+            self.evict_all(ConnectionState::ReadingHead, MIN_HEAD_TIME_BEFORE_EVICTION);
+            self.evict_longest_idle();
         }
-        idle.sort_by_key(|(since, _)| *since);
-        let excess = (self.open_count() + 1).saturating_sub(self.max_served);
-        idle.into_iter().take(excess).for_each(|(_, slot)| slot.evict());
+    }
+
+    /// Evicts every connection that has been in `state` for at least `min_time`.
+    fn evict_all(&self, state: ConnectionState, min_time: Duration) {
+        let slots = self.slots.borrow();
+        let evictable = slots.iter().filter(|slot| slot.status().has_been(state, min_time));
+        evictable.for_each(|slot| slot.evict());
+    }
+
+    fn evict_longest_idle(&self) {
+        let excess = (self.serving_count() + 1).saturating_sub(self.limits.max_served);
+        let slots = self.slots.borrow();
+        let is_evictable = |slot: &&Arc<ConnectionSlot>| {
+            slot.status().has_been(ConnectionState::Idle, MIN_IDLE_TIME_BEFORE_EVICTION)
+        };
+        let mut idle: Vec<_> = slots.iter().filter(is_evictable).collect();
+        idle.sort_by_key(|slot| slot.status().since);
+        idle.into_iter().take(excess).for_each(|slot| slot.evict());
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,7 +7,7 @@
 //! - `client_connection`: serves the requests of one connection and closes it;
 //! - `client_stream`: the socket of a client connection, with a read-ahead buffer and a write timeout;
 //! - `connection_slot`: the state of one connection, and the timeouts that depend on it;
-//! - `connection_table`: the connections of one listener, and their eviction at the serving limit;
+//! - `connection_table`: the connections of one listener, and their eviction when a limit is reached;
 //! - `request_framing`: detects requests with both `Content-Length` and `Transfer-Encoding`;
 //! - `body`: response bodies.
 //!
@@ -34,7 +34,8 @@
 pub use body::{GuardedBody, ResponseBody, full_body};
 pub use client_connection::{Admission, RequestContext};
 pub use connection_pool::{ConnectionPool, PoolLimits};
+pub use connection_table::ConnectionLimits;
 pub use exchange::{Exchange, ExchangeEvent, ExchangeFailure, StreamedBody, StreamingRule};
 pub use lifecycle::LifecyclePhase;
 pub use node_connection::{NodeConnection, SendError};
-pub use server::{ConnectionLimits, serve};
+pub use server::serve;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -2,7 +2,7 @@
 
 use super::ResponseBody;
 use super::client_connection::{ClientConnection, RequestContext};
-use super::connection_table::ConnectionTable;
+use super::connection_table::{ConnectionLimits, ConnectionTable};
 use super::lifecycle::LifecyclePhase;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -16,21 +16,11 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::JoinSet;
 
-/// Interval at which connections are checked for eviction while the serving limit is reached.
+/// Interval at which connections are checked for eviction while a connection limit is reached.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 
-/// Maximum numbers of open connections of one listener.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionLimits {
-    /// The serving limit: requests are served as long as no more connections than this are open. A connection
-    /// that has been admitted once is served until it is closed.
-    pub max_served: usize,
-    /// Maximum number of additional connections, whose requests are rejected because of overload.
-    pub max_rejected: usize,
-}
-
 /// An accepted connection and its permit, which limits the number of open connections.
 struct AcceptedConnection {
     stream: TcpStream,
@@ -51,20 +41,21 @@
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
     let service = Rc::new(service);
-    let table = Rc::new(ConnectionTable::new(limits.max_served));
-    let permits = Arc::new(Semaphore::new(limits.max_served + limits.max_rejected));
+    let table = Rc::new(ConnectionTable::new(limits));
+    let permits = Arc::new(Semaphore::new(limits.max_open()));
     let mut connections = JoinSet::new();
     let mut draining = pin!(wait_for_draining(phase.clone()));
     loop {
-        // Guards against hundreds of connections without requests. They would use up the limits, and clients
-        // with requests would wait in the kernel's accept queue.
+        // Guards against hundreds of connections without requests, and against clients that keep sending
+        // after their last response. They would use up the limits, and clients with requests would wait in
+        // the kernel's accept queue.
         table.evict_stale();
         let accepted = tokio::select! {
             biased;
             accepted = accept(&listener, &permits) => accepted,
             Some(_) = connections.join_next() => continue,
             () = &mut draining => break,
-            () = tokio::time::sleep(EVICTION_INTERVAL), if table.is_serving_limit_reached() => continue,
+            () = tokio::time::sleep(EVICTION_INTERVAL), if table.is_limit_reached() => continue,
         };
         let Ok(AcceptedConnection { stream, permit }) = accepted else {
             // The process has run out of descriptors, or the client disconnected before it was accepted.
--- /dev/null
+++ b/tests/client_connections.rs
@@ -0,0 +1,83 @@
+//! Tests that clients which only occupy connections do not keep other clients from being answered. Uses the
+//! server of the transport module, real sockets and the real clock.
+
+use hyper::Response;
+use std::net::SocketAddr;
+use std::time::Duration;
+use storage_gateway::transport::{ConnectionLimits, LifecyclePhase, full_body, serve};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const LIMITS: ConnectionLimits = ConnectionLimits { max_served: 8, max_rejected: 2 };
+const MAX_OPEN: usize = LIMITS.max_served + LIMITS.max_rejected;
+/// A deadline of 750 ms, the half second after which an unanswered request counts as lost, and 50 ms by which
+/// the platform extends every time limit.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(750 + 500 + 50);
+/// Interval at which a client with an endless head sends more of it.
+const HEAD_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Starts a server that answers every request with status 200, and returns its address.
+async fn start_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (phase_sender, phase) = watch::channel(LifecyclePhase::Serving);
+    spawn_local(async move {
+        serve(listener, LIMITS, phase, |_, _| async { Response::new(full_body("served")) }).await;
+        drop(phase_sender);
+    });
+    address
+}
+
+/// Opens a connection whose head exceeds every limit, and waits for the error. After that, the client goes on
+/// sending and reading until the server closes the connection.
+async fn open_connection_with_endless_head(server: SocketAddr) {
+    let (mut reader, mut writer) = TcpStream::connect(server).await.unwrap().into_split();
+    spawn_local(async move {
+        let header_lines = "x-filler: 0123456789\r\n".repeat(200);
+        let mut sent = writer.write_all(b"GET / HTTP/1.1\r\n").await;
+        while sent.is_ok() {
+            sleep(HEAD_INTERVAL).await;
+            sent = writer.write_all(header_lines.as_bytes()).await;
+        }
+    });
+    let mut buffer = [0; 1024];
+    let length = reader.read(&mut buffer).await.unwrap();
+    assert!(buffer[..length].starts_with(b"HTTP/1.1 431 "), "{}", String::from_utf8_lossy(&buffer));
+    spawn_local(async move { while reader.read(&mut buffer).await.is_ok_and(|length| length > 0) {} });
+}
+
+/// Sends a request on a new connection and returns everything that the server sends until it closes it.
+async fn send_request(server: SocketAddr) -> String {
+    let mut client = TcpStream::connect(server).await.unwrap();
+    client.write_all(b"GET / HTTP/1.1\r\nhost: gateway\r\nconnection: close\r\n\r\n").await.unwrap();
+    let mut response = String::new();
+    client.read_to_string(&mut response).await.unwrap();
+    response
+}
+
+/// A client that keeps sending after its error occupied its connection for 3 s, and was not taken into account
+/// when silent connections were evicted: no connection was accepted until then.
+#[tokio::test]
+async fn clients_that_keep_sending_after_an_error_do_not_block_other_clients() {
+    let test = async {
+        for (endless_heads, silent_clients) in [(3, 2 * MAX_OPEN), (MAX_OPEN, 0), (MAX_OPEN, 2 * MAX_OPEN)] {
+            let server = start_server().await;
+            for _ in 0..endless_heads {
+                open_connection_with_endless_head(server).await;
+            }
+            let mut silent = Vec::new();
+            for _ in 0..silent_clients {
+                silent.push(TcpStream::connect(server).await.unwrap());
+            }
+            let response = timeout(ANSWER_TIMEOUT, send_request(server)).await;
+            let response = response.unwrap_or_else(|_| {
+                panic!("no answer beside {endless_heads} endless heads and {silent_clients} silent clients")
+            });
+            assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
