Apply the timeout of an incomplete head to later requests of a connection

If hyper had read the beginning of the next head together with the previous request, the connection even counted as idle after the response.

Change: the beginning of a head wakes must_close, and the request framing tells whether the bytes received so far end within a head, which decides the state after a response.

--- a/src/transport/client_stream.rs
+++ b/src/transport/client_stream.rs
@@ -132,8 +132,9 @@
         let filled_before = buf.filled().len();
         ready!(self.read_ahead.poll_read(cx, buf))?;
         if buf.filled().len() > filled_before {
-            self.read_ahead.framing.borrow_mut().feed(&buf.filled()[filled_before..]);
-            self.slot.record_received_bytes();
+            let mut framing = self.read_ahead.framing.borrow_mut();
+            framing.feed(&buf.filled()[filled_before..]);
+            self.slot.record_received_bytes(framing.is_within_head());
         }
         Poll::Ready(Ok(()))
     }
--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -56,8 +56,10 @@
     status: Mutex<SlotStatus>,
     /// Whether the connection has been admitted, so that all its further requests are served as well.
     admitted: AtomicBool,
-    /// Notified when the connection is evicted.
-    eviction: Notify,
+    /// Whether the bytes received so far end within the head of a request.
+    has_partial_head: AtomicBool,
+    /// Notified when the connection may have to be closed earlier than its previous state required.
+    changed: Notify,
 }
 
 /// A request whose head has just been received.
@@ -78,7 +80,8 @@
             id,
             status: Mutex::new(SlotStatus::starting_now(ConnectionState::AwaitingFirstByte)),
             admitted: AtomicBool::new(false),
-            eviction: Notify::new(),
+            has_partial_head: AtomicBool::new(false),
+            changed: Notify::new(),
         }
     }
 
@@ -115,13 +118,25 @@
         *self.lock_status() = SlotStatus::starting_now(state);
     }
 
-    /// Records that bytes have been received from the client.
-    pub(super) fn record_received_bytes(&self) {
+    /// Records that bytes have been received from the client. `has_partial_head` tells whether the bytes
+    /// received so far end within the head of a request.
+    pub(super) fn record_received_bytes(&self, has_partial_head: bool) {
+        self.has_partial_head.store(has_partial_head, Ordering::Relaxed);
         if matches!(self.state(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle) {
             self.set_state(ConnectionState::ReadingHead);
+            self.changed.notify_one();
         }
     }
 
+    /// Records that the response to the request in progress has been written.
+    fn end_request(&self) {
+        let is_reading_next_head = self.has_partial_head.load(Ordering::Relaxed);
+        self.set_state(match is_reading_next_head {
+            true => ConnectionState::ReadingHead,
+            false => ConnectionState::Idle,
+        });
+    }
+
     /// Records that the head of a request is complete and the request is now in progress.
     pub(super) fn start_request(self: &Arc<Self>) -> StartedRequest {
         let previous = self.status();
@@ -153,13 +168,13 @@
     /// in progress by then.
     pub(super) fn evict(&self) {
         self.set_state(ConnectionState::Evicted);
-        self.eviction.notify_one();
+        self.changed.notify_one();
     }
 
     /// Resolves once the connection has been evicted.
     pub(super) async fn evicted(&self) {
         while self.state() != ConnectionState::Evicted {
-            self.eviction.notified().await;
+            self.changed.notified().await;
         }
     }
 
@@ -180,7 +195,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep_until(deadline) => {}
-                () = self.eviction.notified() => {}
+                () = self.changed.notified() => {}
             }
         }
     }
@@ -192,7 +207,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         if self.0.is_serving_request() {
-            self.0.set_state(ConnectionState::Idle);
+            self.0.end_request();
         }
     }
 }
--- a/src/transport/request_framing/mod.rs
+++ b/src/transport/request_framing/mod.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Returns whether the bytes read so far end within the head of a request.
+    pub(super) fn is_within_head(&self) -> bool {
+        match self.state {
+            ParserState::RequestLine => !self.line.trim_ascii().is_empty(),
+            ParserState::HeaderFields => true,
+            ParserState::Body { .. } | ParserState::Stopped => false,
+        }
+    }
+
     /// Returns whether the request with `Transfer-Encoding` on this connection, which is always its last
     /// request, also has a `Content-Length`.
     pub(super) fn conflicting_length(&self) -> bool {
--- a/src/transport/request_framing/tests.rs
+++ b/src/transport/request_framing/tests.rs
@@ -21,3 +21,19 @@
         }
     }
 }
+
+#[test]
+fn finds_whether_the_bytes_end_within_a_head() {
+    let request = "\r\nPUT /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+    let head_start = request.find("PUT").unwrap();
+    let head_end = request.find("abc").unwrap();
+    for received in 0..=request.len() {
+        for before in ["", request] {
+            let mut framing = RequestFraming::default();
+            framing.feed(before.as_bytes());
+            framing.feed(&request.as_bytes()[..received]);
+            let expected = received > head_start && received < head_end;
+            assert_eq!(framing.is_within_head(), expected, "{received} bytes after {before:?}");
+        }
+    }
+}
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -2,6 +2,7 @@
 //! server of the transport module, real sockets and the real clock.
 
 use hyper::Response;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use storage_gateway::transport::{ConnectionLimits, LifecyclePhase, full_body, serve};
@@ -16,16 +17,24 @@
 /// A deadline of 750 ms, the half second after which an unanswered request counts as lost, and 50 ms by which
 /// the platform extends every time limit.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(750 + 500 + 50);
+/// A client that stops within a request receives an error or is disconnected within 3 s, which the platform
+/// extends by 50 ms.
+const STOPPED_CLIENT_TIMEOUT: Duration = Duration::from_millis(3_000 + 50);
 /// Interval at which a client with an endless head sends more of it.
 const HEAD_INTERVAL: Duration = Duration::from_millis(10);
 
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: gateway\r\n\r\n";
+const PARTIAL_HEAD: &[u8] = b"GET / HTTP/1.1\r\nho";
+/// The body of every response.
+const BODY: &str = "served";
+
 /// Starts a server that answers every request with status 200, and returns its address.
 async fn start_server() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (phase_sender, phase) = watch::channel(LifecyclePhase::Serving);
     spawn_local(async move {
-        serve(listener, LIMITS, phase, |_, _| async { Response::new(full_body("served")) }).await;
+        serve(listener, LIMITS, phase, |_, _| async { Response::new(full_body(BODY)) }).await;
         drop(phase_sender);
     });
     address
@@ -81,3 +90,42 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Sends the bytes, reads one response, and returns the connection.
+async fn exchange(mut client: TcpStream, bytes: &[u8]) -> TcpStream {
+    client.write_all(bytes).await.unwrap();
+    let mut response = Vec::new();
+    while !response.ends_with(BODY.as_bytes()) {
+        assert!(client.read_buf(&mut response).await.unwrap() > 0, "closed without a response");
+    }
+    client
+}
+
+/// Sends a part of a head and waits until the server disconnects the client.
+async fn stop_within_head(mut client: TcpStream) {
+    client.write_all(PARTIAL_HEAD).await.unwrap();
+    let mut response = Vec::new();
+    client.read_to_end(&mut response).await.unwrap();
+}
+
+/// On a kept connection, the timeout of an incomplete head took effect only once the idle timeout of 20 s had
+/// passed, or not at all if the head had begun before the previous response.
+#[tokio::test]
+async fn clients_that_stop_within_a_later_head_are_disconnected() {
+    let test = async {
+        let server = start_server().await;
+        let kept = async {
+            let client = exchange(TcpStream::connect(server).await.unwrap(), REQUEST).await;
+            timeout(STOPPED_CLIENT_TIMEOUT, stop_within_head(client)).await.expect("head after a response");
+        };
+        let pipelined = async {
+            let bytes = [REQUEST, PARTIAL_HEAD].concat();
+            let mut client = exchange(TcpStream::connect(server).await.unwrap(), &bytes).await;
+            let closed = client.read_u8();
+            let end = timeout(STOPPED_CLIENT_TIMEOUT, closed).await.expect("head before a response");
+            assert_eq!(end.unwrap_err().kind(), ErrorKind::UnexpectedEof);
+        };
+        tokio::join!(kept, pipelined);
+    };
+    LocalSet::new().run_until(test).await;
+}
