Deduct a client's initial silence from the time for its first request

What callers saw: a client that is silent for 2 s after connecting and then stops within its first request is answered or disconnected 4.4 s (head) or 4.6 s (body) after it connected. It is owed an error or a close within 3 s of connecting.

Change: the first request of a connection counts as started 200 ms after the connection was accepted at the latest. A silent connection may still send its first byte within 2.4 s. A client that sends its request at once has the same time as before.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -44,7 +44,8 @@
     /// Time at which hyper read the first byte of the request. If bytes of the request arrived before the
     /// previous response ended (pipelining), it is the time of hyper's first read after that response. If
     /// hyper had already read the complete head by then, it is the time at which the processing of the
-    /// request started.
+    /// request started. The first request of a connection counts as started 200 ms after the connection was
+    /// accepted at the latest.
     pub started_at: Instant,
     /// Whether the request has both `Transfer-Encoding` and `Content-Length`.
     pub conflicting_length: bool,
--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -10,6 +10,10 @@
 /// first byte of a request to the end of its head. The platform requires that a client that never completes a
 /// request head is disconnected within 3 s.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_400);
+/// Maximum time from the acceptance of a connection to its first byte that is not deducted from the time for
+/// its first request. The platform requires that a client that stops within its first request receives an
+/// error or is disconnected within 3 s of connecting, however long it was silent before.
+const MAX_INITIAL_SILENCE: Duration = Duration::from_millis(200);
 /// Duration after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -64,10 +68,7 @@
 
 /// A request whose head has just been received.
 pub(super) struct StartedRequest {
-    /// Time at which hyper read the first byte of the request. If bytes of the request arrived before the
-    /// previous response ended (pipelining), it is the time of hyper's first read after that response. If
-    /// hyper had already read the complete head by then, it is the time at which the processing of the
-    /// request started.
+    /// See [`RequestContext::started_at`](super::RequestContext::started_at).
     pub(super) started_at: Instant,
     /// Marks the request as in progress; must be dropped only once the response has been written.
     pub(super) guard: RequestGuard,
@@ -122,12 +123,20 @@
     /// received so far end within the head of a request.
     pub(super) fn record_received_bytes(&self, has_partial_head: bool) {
         self.has_partial_head.store(has_partial_head, Ordering::Relaxed);
-        if matches!(self.state(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle) {
-            self.set_state(ConnectionState::ReadingHead);
-            self.changed.notify_one();
+        let SlotStatus { state, since } = self.status();
+        let now = Instant::now();
+        match state {
+            ConnectionState::AwaitingFirstByte => self.start_head(now.min(since + MAX_INITIAL_SILENCE)),
+            ConnectionState::Idle => self.start_head(now),
+            _ => {}
         }
     }
 
+    fn start_head(&self, since: Instant) {
+        *self.lock_status() = SlotStatus { state: ConnectionState::ReadingHead, since };
+        self.changed.notify_one();
+    }
+
     /// Records that the response to the request in progress has been written.
     fn end_request(&self) {
         let is_reading_next_head = self.has_partial_head.load(Ordering::Relaxed);
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -1,16 +1,19 @@
 //! Tests that clients which only occupy connections do not keep other clients from being answered. Uses the
 //! server of the transport module, real sockets and the real clock.
 
-use hyper::Response;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
-use storage_gateway::transport::{ConnectionLimits, LifecyclePhase, full_body, serve};
+use storage_gateway::transport::{
+    ConnectionLimits, LifecyclePhase, RequestContext, ResponseBody, full_body, serve,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 const LIMITS: ConnectionLimits = ConnectionLimits { max_served: 8, max_rejected: 2 };
 const MAX_OPEN: usize = LIMITS.max_served + LIMITS.max_rejected;
@@ -20,21 +23,38 @@
 /// A client that stops within a request receives an error or is disconnected within 3 s, which the platform
 /// extends by 50 ms.
 const STOPPED_CLIENT_TIMEOUT: Duration = Duration::from_millis(3_000 + 50);
+/// Time for which a client is silent before its first request.
+const INITIAL_SILENCE: Duration = Duration::from_secs(2);
+/// Time from [`RequestContext::started_at`] after which a front end answers a request whose body stops.
+const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Interval at which a client with an endless head sends more of it.
 const HEAD_INTERVAL: Duration = Duration::from_millis(10);
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: gateway\r\n\r\n";
 const PARTIAL_HEAD: &[u8] = b"GET / HTTP/1.1\r\nho";
+/// A request whose body stops after one byte.
+const STOPPED_BODY: &[u8] = b"PUT /stopped HTTP/1.1\r\nhost: gateway\r\ncontent-length: 2\r\n\r\na";
+const STOPPED_BODY_PATH: &str = "/stopped";
 /// The body of every response.
 const BODY: &str = "served";
 
-/// Starts a server that answers every request with status 200, and returns its address.
+/// Answers a request with status 200, or with the error that a front end sends if the body of a request stops.
+async fn respond(request: Request<Incoming>, context: RequestContext) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(BODY));
+    if request.uri().path() == STOPPED_BODY_PATH {
+        sleep_until(context.started_at + REQUEST_READ_TIMEOUT).await;
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
+    response
+}
+
+/// Starts a server that answers requests with [`respond`], and returns its address.
 async fn start_server() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (phase_sender, phase) = watch::channel(LifecyclePhase::Serving);
     spawn_local(async move {
-        serve(listener, LIMITS, phase, |_, _| async { Response::new(full_body(BODY)) }).await;
+        serve(listener, LIMITS, phase, respond).await;
         drop(phase_sender);
     });
     address
@@ -129,3 +149,25 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// The time for the first request of a connection began at its first byte, so that a client that was silent
+/// before could take almost twice the time.
+#[tokio::test]
+async fn initial_silence_counts_towards_the_time_for_the_first_request() {
+    let test = async {
+        let server = start_server().await;
+        let remaining = STOPPED_CLIENT_TIMEOUT.saturating_sub(INITIAL_SILENCE);
+        let head = async {
+            let client = TcpStream::connect(server).await.unwrap();
+            sleep(INITIAL_SILENCE).await;
+            timeout(remaining, stop_within_head(client)).await.expect("a head that stops");
+        };
+        let body = async {
+            let client = TcpStream::connect(server).await.unwrap();
+            sleep(INITIAL_SILENCE).await;
+            timeout(remaining, exchange(client, STOPPED_BODY)).await.expect("a body that stops");
+        };
+        tokio::join!(head, body);
+    };
+    LocalSet::new().run_until(test).await;
+}
