Shorten lingering closes that are in progress when a shutdown begins

What callers saw: after SIGTERM the gateway did not end while a client that had received an error before went on sending, for up to 3 s, although all requests were answered.

Change: the lingering close also waits for the phase FinalResponses, and ends 100 ms after it.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -29,7 +29,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Duration without input from the client after which lingering ends early.
 const LINGER_SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Replaces [`LINGER_TIMEOUT`] during a graceful shutdown, from [`LifecyclePhase::FinalResponses`] on.
+/// Maximum duration of a lingering close during a graceful shutdown, from [`LifecyclePhase::FinalResponses`]
+/// on.
 const SHUTDOWN_LINGER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval at which a client is checked for a disconnect while the read-ahead buffer is full. The buffer
 /// contains bytes of the request's body that hyper has not read yet, bytes that follow the request, or both.
@@ -184,13 +185,23 @@
     /// Performs a lingering close: gives the client time to read its response before the socket is closed.
     async fn linger(&self) {
         self.slot.start_lingering();
-        let timeout = if self.responses_are_final() { SHUTDOWN_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
         tokio::select! {
-            // Errors and timeouts are ignored: the connection is closed in any case.
-            _ = tokio::time::timeout(timeout, discard_until_closed(self.read_ahead.stream())) => {}
+            // An error is ignored: the connection is closed in any case.
+            _ = discard_until_closed(self.read_ahead.stream()) => {}
+            () = tokio::time::sleep(LINGER_TIMEOUT) => {}
+            () = self.shutdown_linger_timeout() => {}
             () = self.slot.evicted() => {}
         }
     }
+
+    /// Resolves [`SHUTDOWN_LINGER_TIMEOUT`] after [`LifecyclePhase::FinalResponses`] has been reached, or
+    /// after the call if that is later.
+    async fn shutdown_linger_timeout(&self) {
+        let mut phase = self.phase.clone();
+        // Waiting fails only if the sender has been dropped, which happens only when the program exits.
+        let _ = phase.wait_for(|phase| *phase >= LifecyclePhase::FinalResponses).await;
+        tokio::time::sleep(SHUTDOWN_LINGER_TIMEOUT).await;
+    }
 }
 
 /// Shuts down the sending half of the connection, and discards input until the client closes its half or
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout};
 
 const LIMITS: ConnectionLimits = ConnectionLimits { max_served: 8, max_rejected: 2 };
@@ -27,6 +27,8 @@
 const INITIAL_SILENCE: Duration = Duration::from_secs(2);
 /// Time from [`RequestContext::started_at`] after which a front end answers a request whose body stops.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Time from the start of [`LifecyclePhase::ClosingIdle`] to the platform's earliest SIGKILL.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a client with an endless head sends more of it.
 const HEAD_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -48,22 +50,31 @@
     response
 }
 
-/// Starts a server that answers requests with [`respond`], and returns its address.
-async fn start_server() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (phase_sender, phase) = watch::channel(LifecyclePhase::Serving);
-    spawn_local(async move {
-        serve(listener, LIMITS, phase, respond).await;
-        drop(phase_sender);
-    });
-    address
+struct Server {
+    address: SocketAddr,
+    phase: watch::Sender<LifecyclePhase>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts a server that answers requests with [`respond`].
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (phase, receiver) = watch::channel(LifecyclePhase::Serving);
+        let task = spawn_local(serve(listener, LIMITS, receiver, respond));
+        Server { address, phase, task }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.unwrap()
+    }
 }
 
 /// Opens a connection whose head exceeds every limit, and waits for the error. After that, the client goes on
 /// sending and reading until the server closes the connection.
-async fn open_connection_with_endless_head(server: SocketAddr) {
-    let (mut reader, mut writer) = TcpStream::connect(server).await.unwrap().into_split();
+async fn open_connection_with_endless_head(server: &Server) {
+    let (mut reader, mut writer) = server.connect().await.into_split();
     spawn_local(async move {
         let header_lines = "x-filler: 0123456789\r\n".repeat(200);
         let mut sent = writer.write_all(b"GET / HTTP/1.1\r\n").await;
@@ -79,8 +90,8 @@
 }
 
 /// Sends a request on a new connection and returns everything that the server sends until it closes it.
-async fn send_request(server: SocketAddr) -> String {
-    let mut client = TcpStream::connect(server).await.unwrap();
+async fn send_request(server: &Server) -> String {
+    let mut client = server.connect().await;
     client.write_all(b"GET / HTTP/1.1\r\nhost: gateway\r\nconnection: close\r\n\r\n").await.unwrap();
     let mut response = String::new();
     client.read_to_string(&mut response).await.unwrap();
@@ -93,15 +104,15 @@
 async fn clients_that_keep_sending_after_an_error_do_not_block_other_clients() {
     let test = async {
         for (endless_heads, silent_clients) in [(3, 2 * MAX_OPEN), (MAX_OPEN, 0), (MAX_OPEN, 2 * MAX_OPEN)] {
-            let server = start_server().await;
+            let server = Server::start().await;
             for _ in 0..endless_heads {
-                open_connection_with_endless_head(server).await;
+                open_connection_with_endless_head(&server).await;
             }
             let mut silent = Vec::new();
             for _ in 0..silent_clients {
-                silent.push(TcpStream::connect(server).await.unwrap());
+                silent.push(server.connect().await);
             }
-            let response = timeout(ANSWER_TIMEOUT, send_request(server)).await;
+            let response = timeout(ANSWER_TIMEOUT, send_request(&server)).await;
             let response = response.unwrap_or_else(|_| {
                 panic!("no answer beside {endless_heads} endless heads and {silent_clients} silent clients")
             });
@@ -133,14 +144,14 @@
 #[tokio::test]
 async fn clients_that_stop_within_a_later_head_are_disconnected() {
     let test = async {
-        let server = start_server().await;
+        let server = Server::start().await;
         let kept = async {
-            let client = exchange(TcpStream::connect(server).await.unwrap(), REQUEST).await;
+            let client = exchange(server.connect().await, REQUEST).await;
             timeout(STOPPED_CLIENT_TIMEOUT, stop_within_head(client)).await.expect("head after a response");
         };
         let pipelined = async {
             let bytes = [REQUEST, PARTIAL_HEAD].concat();
-            let mut client = exchange(TcpStream::connect(server).await.unwrap(), &bytes).await;
+            let mut client = exchange(server.connect().await, &bytes).await;
             let closed = client.read_u8();
             let end = timeout(STOPPED_CLIENT_TIMEOUT, closed).await.expect("head before a response");
             assert_eq!(end.unwrap_err().kind(), ErrorKind::UnexpectedEof);
@@ -155,15 +166,15 @@
 #[tokio::test]
 async fn initial_silence_counts_towards_the_time_for_the_first_request() {
     let test = async {
-        let server = start_server().await;
+        let server = Server::start().await;
         let remaining = STOPPED_CLIENT_TIMEOUT.saturating_sub(INITIAL_SILENCE);
         let head = async {
-            let client = TcpStream::connect(server).await.unwrap();
+            let client = server.connect().await;
             sleep(INITIAL_SILENCE).await;
             timeout(remaining, stop_within_head(client)).await.expect("a head that stops");
         };
         let body = async {
-            let client = TcpStream::connect(server).await.unwrap();
+            let client = server.connect().await;
             sleep(INITIAL_SILENCE).await;
             timeout(remaining, exchange(client, STOPPED_BODY)).await.expect("a body that stops");
         };
@@ -171,3 +182,16 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A connection that had begun to linger before a shutdown delayed the end of the gateway by up to 3 s.
+#[tokio::test]
+async fn lingering_connections_do_not_delay_a_shutdown() {
+    let test = async {
+        let server = Server::start().await;
+        open_connection_with_endless_head(&server).await;
+        server.phase.send_replace(LifecyclePhase::ClosingIdle);
+        let ended = timeout(SHUTDOWN_TIMEOUT, server.task).await;
+        ended.expect("the server waits for a lingering connection").unwrap();
+    };
+    LocalSet::new().run_until(test).await;
+}
