Reject requests whose id has been used until long after its request

Cause: the gateway forgot an id when its request ended (open_request_id.rs), so that the next copy counted as a new request. The answer is not the only such end: an id also became free when the request was rejected or failed, and when its client disconnected while the attempt could still run.

Retries of the scheduler are ruled out: the second run answers the copying client.

Change: an id that has been handed to the router, or of which a copy has been rejected, stays registered for 30 to 60 s after its request or its last rejected copy. An id whose request was not received completely remains free: that request cannot have run.

Why it works: a copy can only be accepted once no copy has been seen for 30 s, which is longer than a client may take from connecting to its answer.

--- a/src/gateway/hashing.rs
+++ b/src/gateway/hashing.rs
@@ -1,4 +1,4 @@
-//! The hash function for object placement, ids of volumes and blocks, and idempotency keys.
+//! The hash function for object placement, ids of volumes, blocks and requests, and idempotency keys.
 
 use sha2::{Digest, Sha256};
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 //! | storage nodes | `node_registry`, `node_transport`, `descriptors` | `discovery` | `inventory` |
 //! | metrics | `metrics` | | |
 //!
-//! `hashing` is used for object placement, idempotency keys, and ids of volumes and blocks.
+//! `hashing` is used for object placement, idempotency keys, and ids of volumes, blocks and requests.
 
 mod admin_frontend;
 mod config;
--- a/src/gateway/platform_frontend/mod.rs
+++ b/src/gateway/platform_frontend/mod.rs
@@ -1,16 +1,16 @@
 //! Front end for the platform's protocol: decodes clients' requests, submits them to the router and responds.
 
-mod open_request_id;
+mod request_ids;
 mod response;
 mod transport;
 
-pub use open_request_id::OpenRequestIds;
+pub use request_ids::RequestIds;
 pub use transport::PlatformTransport;
 
 use super::frontend::{Frontend, HealthStatus, RESPONSE_MARGIN_US, read_body};
 use super::metrics::GatewayMetrics;
 use super::shutdown::ShutdownSchedule;
-use crate::protocol::client_request::{self, ForwardedRequest, NameTable, ParsedRequest};
+use crate::protocol::client_request::{self, ForwardedRequest, NameTable, ParsedRequest, RequestError};
 use crate::protocol::common_headers::REQUEST_ID;
 use crate::routing::{Clock, RouterHandle};
 use crate::scheduler::IncomingRequest;
@@ -19,7 +19,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use open_request_id::OpenRequestId;
+use request_ids::RequestIdGuard;
 use response::{PlatformResponse, Rejection};
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,8 +51,8 @@
     pub overload_retry_after_us: Option<u64>,
     /// The shutdown schedule, which limits the expiry of requests once a shutdown has started.
     pub shutdown: Rc<ShutdownSchedule>,
-    /// Ids of the requests in progress, which must be unique.
-    pub open_ids: OpenRequestIds,
+    /// Ids of the requests in progress and of recent requests, which must not be used again.
+    pub request_ids: RequestIds,
 }
 
 impl Frontend for PlatformFrontend {
@@ -77,18 +77,20 @@
         let (head, body) = request.into_parts();
         let parsed = client_request::decode(&head, context.conflicting_length, &self.names)
             .map_err(Rejection::Malformed)?;
-        let _open_id = self.register_id(&head)?;
+        let mut id_guard = self.register_id(&head)?;
         check_stated_body_len(&body)?;
         let read_deadline = context.started_at + REQUEST_READ_TIMEOUT;
         let body = read_body(body, client_request::MAX_BODY_LEN, read_deadline).await?;
         let incoming = self.incoming_request(&parsed);
+        id_guard.mark_used();
         Ok(self.router.submit(incoming, ForwardedRequest { head, body }).await.into())
     }
 
-    /// Registers the request's id. The `Req-Id` header is always present, because [`client_request::decode`]
-    /// rejects a request without it, so the only possible rejection is that of a duplicate id.
-    fn register_id(&self, head: &Parts) -> Result<OpenRequestId<'_>, Rejection> {
-        head.headers.get(REQUEST_ID).and_then(|id| self.open_ids.register(id)).ok_or(Rejection::DuplicateId)
+    /// Registers the request's id, which [`client_request::decode`] has checked.
+    fn register_id(&self, head: &Parts) -> Result<RequestIdGuard<'_>, Rejection> {
+        let missing = Rejection::Malformed(RequestError::InvalidHeader(REQUEST_ID));
+        let id = head.headers.get(REQUEST_ID).ok_or(missing)?;
+        self.request_ids.register(id).map_err(Rejection::DuplicateId)
     }
 
     fn incoming_request(&self, parsed: &ParsedRequest) -> IncomingRequest {
--- a/src/gateway/platform_frontend/response.rs
+++ b/src/gateway/platform_frontend/response.rs
@@ -1,5 +1,6 @@
 //! Responses to clients, and the reasons for which a request is rejected.
 
+use super::request_ids::DuplicateId;
 use crate::gateway::frontend::{BodyError, HealthStatus};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::protocol::client_request::RequestError;
@@ -53,8 +54,8 @@
     Overloaded,
     /// The head of the request is malformed, or the class or the plan is unknown.
     Malformed(RequestError),
-    /// A request with the same id is in progress.
-    DuplicateId,
+    /// The id of the request has been used by another request.
+    DuplicateId(DuplicateId),
     /// The body is longer than the protocol allows.
     BodyTooLarge,
     /// The body is incomplete, malformed, or was not received in time.
@@ -76,7 +77,7 @@
         let counter = match self {
             Rejection::Overloaded => &metrics.overload,
             Rejection::BodyTooLarge => &metrics.bodies_too_large,
-            Rejection::Malformed(_) | Rejection::DuplicateId | Rejection::BodyIncomplete => {
+            Rejection::Malformed(_) | Rejection::DuplicateId(_) | Rejection::BodyIncomplete => {
                 &metrics.bad_requests
             }
         };
@@ -91,9 +92,7 @@
                 PlatformResponse::unavailable("too many connections\n", overload_retry_after_us)
             }
             Rejection::Malformed(cause) => malformed(cause),
-            Rejection::DuplicateId => {
-                PlatformResponse::new(StatusCode::CONFLICT, "a request of this id is open\n")
-            }
+            Rejection::DuplicateId(cause) => duplicate_id(cause),
             Rejection::BodyTooLarge => {
                 PlatformResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
             }
@@ -104,6 +103,14 @@
     }
 }
 
+fn duplicate_id(cause: DuplicateId) -> PlatformResponse {
+    let text = match cause {
+        DuplicateId::InProgress => "a request of this id is open\n",
+        DuplicateId::RecentlyUsed => "the id of the request has been used\n",
+    };
+    PlatformResponse::new(StatusCode::CONFLICT, text)
+}
+
 fn malformed(cause: RequestError) -> PlatformResponse {
     let status = match cause {
         RequestError::AmbiguousLength => StatusCode::LENGTH_REQUIRED,
--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -6,7 +6,7 @@
 use crate::gateway::discovery::{EndpointWatcher, watch_wait};
 use crate::gateway::error::RunError;
 use crate::gateway::node_registry::NodeRegistry;
-use crate::gateway::platform_frontend::{OpenRequestIds, PlatformFrontend, PlatformTransport};
+use crate::gateway::platform_frontend::{PlatformFrontend, PlatformTransport, RequestIds};
 use crate::gateway::reload::reload_discovery_address;
 use crate::gateway::signals::hangup_signal;
 use crate::routing::RequestRouter;
@@ -58,7 +58,7 @@
         phase: phase.clone(),
         overload_retry_after_us,
         shutdown,
-        open_ids: OpenRequestIds::default(),
+        request_ids: RequestIds::new(),
     });
     let listener = listen(config.listen).await?;
     let server = spawn_server(listener, clients, phase, frontend);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -58,6 +58,7 @@
     platform_serves
     platform_shutdown
     platform_surplus_responses
+    platform_used_request_ids
     short_discovery_connection_closed
     short_partial_request_at_shutdown
     tight_memory
