Count the requests that are rejected because of their id

Cause: bad_requests counts malformed requests and those with a used id alike, so that an operator cannot tell whether clients reuse ids.

Change: the counter duplicate_ids, in the log and in the administration API.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -14,6 +14,8 @@
     /// Requests to the object API with an unknown bucket or upload, without `Content-Length`, or with a
     /// malformed `Req-Deadline` are not counted.
     pub bad_requests: Counter,
+    /// Requests rejected because their id has been used, which are also counted in `bad_requests`.
+    pub duplicate_ids: Counter,
     /// Requests rejected because their body is too large.
     pub bodies_too_large: Counter,
     /// Requests rejected because too many connections are open, which the limit on file descriptors
@@ -39,6 +41,7 @@
         let mut all = self.requests.by_name();
         all.extend([
             ("bad_requests", self.bad_requests.get()),
+            ("duplicate_ids", self.duplicate_ids.get()),
             ("bodies_too_large", self.bodies_too_large.get()),
             ("overload", self.overload.get()),
             ("list_calls", self.list_calls.get()),
--- a/src/gateway/platform_frontend/response.rs
+++ b/src/gateway/platform_frontend/response.rs
@@ -72,8 +72,11 @@
 }
 
 impl Rejection {
-    /// Increments the counter for this kind of rejection.
+    /// Increments the counters for this kind of rejection.
     pub fn count(&self, metrics: &GatewayMetrics) {
+        if let Rejection::DuplicateId(_) = self {
+            metrics.duplicate_ids.increment();
+        }
         let counter = match self {
             Rejection::Overloaded => &metrics.overload,
             Rejection::BodyTooLarge => &metrics.bodies_too_large,
