Answer requests before SIGKILL however short the deadlines are

Cause: the phases of the shutdown had fixed minimum durations, 0.7 + 0.3 + 0.3 s, so that requests were answered up to 1.3 s after SIGTERM. The earliest SIGKILL is the longest deadline + 0.7 s.

Change: the phases are computed from the time to SIGKILL. The closing phases are shortened first, to 0.1 s each, then the accept period, to 0.45 s. Nothing changes with a longest deadline of 0.8 s or more, nor for the object gateway.

--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -27,7 +27,7 @@
 pub async fn start(config: PlatformConfig, context: GatewayContext) -> Result<RunningTasks, RunError> {
     let GatewayContext { shutdown, metrics, phase, clock } = context;
     let hangup = hangup_signal()?;
-    shutdown.extend_service_period(longest_deadline(&config.settings));
+    shutdown.answer_before_sigkill(longest_deadline(&config.settings));
     let ConnectionBudget { clients, nodes: pool_limits } = connection_budget(&config);
     let nodes = NodeRegistry::new(pool_limits, config.zone_names);
     let overload_retry_after_us = config.settings.max_retry_after_us;
