Cancel a request in progress before its connection lingers

What callers saw: nothing directly; a storage node went on working for a client that no longer read its response. If hyper ended a connection with an error, here a write timeout, the request in progress was cancelled only after the lingering close, up to 3 s later.

Change: drive() owns the connection and drops it at its end, before the lingering close.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -100,11 +100,11 @@
     /// Serves requests until the connection ends, and then lingers unless it must be closed at once.
     pub(super) async fn serve(&self) {
         let io = TokioIo::new(ClientStream::new(self.read_ahead.clone(), self.slot.clone()));
-        let mut connection = http1::Builder::new()
+        let connection = http1::Builder::new()
             .header_read_timeout(None)
             .max_buf_size(READ_BUFFER_LEN)
             .serve_connection(io, service_fn(|request| self.respond(request)));
-        match self.drive(&mut connection).await {
+        match self.drive(connection).await {
             ConnectionEnd::Finished => self.linger().await,
             ConnectionEnd::Aborted => {}
         }
@@ -138,8 +138,9 @@
     }
 
     /// Runs hyper's connection until it ends. Also ends it if the client disconnects during a request, if the
-    /// connection times out or is evicted, or, from [`LifecyclePhase::ClosingIdle`] on, once it is idle.
-    async fn drive<H>(&self, connection: &mut http1::Connection<TokioIo<ClientStream>, H>) -> ConnectionEnd
+    /// connection times out or is evicted, or, from [`LifecyclePhase::ClosingIdle`] on, once it is idle. A
+    /// request that is still in progress then is cancelled.
+    async fn drive<H>(&self, mut connection: http1::Connection<TokioIo<ClientStream>, H>) -> ConnectionEnd
     where
         H: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible> + Unpin,
         H::Future: Unpin,
@@ -151,12 +152,9 @@
         loop {
             tokio::select! {
                 biased;
-                // hyper has finished: the last response was written, or the connection failed. A request that
-                // is still in progress is cancelled when `connection` is dropped, after lingering (see
-                // docs/open.md).
+                // hyper has finished: the last response was written, or the connection failed.
                 _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return ConnectionEnd::Finished,
-                // The client disconnected, and hyper has not detected it. `connection` is dropped at once,
-                // which cancels the request.
+                // The client disconnected, and hyper has not detected it.
                 () = poll_fn(|cx| self.poll_client_closed(cx, &mut check_interval)) => {
                     return ConnectionEnd::Aborted;
                 }
@@ -165,7 +163,7 @@
                     // hyper considers a connection idle even if part of its next request has arrived. Such a
                     // request is still served, and its response closes the connection.
                     if !self.slot.is_reading_head() {
-                        Pin::new(&mut *connection).graceful_shutdown();
+                        Pin::new(&mut connection).graceful_shutdown();
                     }
                 }
                 () = self.slot.must_close() => return ConnectionEnd::Aborted,
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -1,17 +1,22 @@
 //! Tests that clients which only occupy connections do not keep other clients from being answered. Uses the
 //! server of the transport module, real sockets and the real clock.
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
 use hyper::{Request, Response, StatusCode};
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use storage_gateway::transport::{
-    Admission, ConnectionLimits, LifecyclePhase, RequestContext, ResponseBody, full_body, serve,
+    Admission, ConnectionLimits, GuardedBody, LifecyclePhase, RequestContext, ResponseBody, full_body, serve,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout};
 
@@ -29,6 +34,10 @@
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Time from the start of [`LifecyclePhase::ClosingIdle`] to the platform's earliest SIGKILL.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Duration after which a client that accepts no byte of its response is disconnected.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval at which a client that does not read sends a byte, which is too short for silence.
+const BYTE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a client with an endless head sends more of it.
 const HEAD_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -63,10 +72,18 @@
 impl Server {
     /// Starts a server that answers requests with [`respond`].
     async fn start() -> Self {
+        Server::start_with(respond).await
+    }
+
+    async fn start_with<S, F>(service: S) -> Self
+    where
+        S: Fn(Request<Incoming>, RequestContext) -> F + 'static,
+        F: Future<Output = Response<ResponseBody>> + 'static,
+    {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (phase, receiver) = watch::channel(LifecyclePhase::Serving);
-        let task = spawn_local(serve(listener, LIMITS, receiver, respond));
+        let task = spawn_local(serve(listener, LIMITS, receiver, service));
         Server { address, phase, task }
     }
 
@@ -219,3 +236,43 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A response body that never ends.
+struct EndlessBody;
+
+impl Body for EndlessBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(&[0; 16 * 1024])))))
+    }
+}
+
+/// If a response could not be written and its client went on sending, the request remained in progress while
+/// the connection lingered. The paused clock advances whenever all tasks wait.
+#[tokio::test(start_paused = true)]
+async fn a_request_is_cancelled_before_its_connection_lingers() {
+    let test = async {
+        let (guard, mut guards) = mpsc::unbounded_channel::<()>();
+        let guard = Cell::new(Some(guard));
+        let server = Server::start_with(move |_, _| {
+            let body = GuardedBody::new(EndlessBody.boxed_unsync(), guard.take());
+            async { Response::new(body.boxed()) }
+        })
+        .await;
+        let mut client = server.connect().await;
+        client.write_all(REQUEST).await.unwrap();
+        spawn_local(async move {
+            while client.write_all(b"x").await.is_ok() {
+                sleep(BYTE_INTERVAL).await;
+            }
+        });
+        let cancelled = timeout(WRITE_TIMEOUT + 2 * BYTE_INTERVAL, guards.recv()).await;
+        assert_eq!(cancelled.expect("the request is still in progress"), None);
+    };
+    LocalSet::new().run_until(test).await;
+}
