--- a/src/gateway/shutdown/mod.rs
+++ b/src/gateway/shutdown/mod.rs
@@ -30,7 +30,7 @@
 /// Maximum duration of the `FinalResponses` phase, and maximum time from the start of the `ClosingIdle` phase
 /// until a platform gateway must have answered all requests.
 const MAX_CLOSING_PERIOD: Duration = Duration::from_millis(300);
-/// Duration of these two periods that is kept free by accepting connections for a shorter time.
+/// Duration to which these two periods are shortened before the accept period is shortened as well.
 const MIN_CLOSING_PERIOD: Duration = Duration::from_millis(100);
 /// Cap on the request deadline in the platform's formula for the earliest SIGKILL: min(longest deadline, this
 /// cap) + [`SIGKILL_DELAY`] after SIGTERM (Protocol page, "Figures").
--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -17,7 +17,7 @@
 /// Duration after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// What a connection is doing.
+/// The part of its life cycle that a client connection has reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionState {
     /// The connection is open, and its client has not sent anything yet.
@@ -124,7 +124,7 @@
         !matches!(self.state(), ConnectionState::Lingering | ConnectionState::Evicted)
     }
 
-    /// Records that bytes have been received from the client. `has_partial_head` tells whether the bytes
+    /// Records that bytes have been received from the client. `has_partial_head` states whether the bytes
     /// received so far end within the head of a request.
     pub(super) fn record_received_bytes(&self, has_partial_head: bool) {
         self.has_partial_head.store(has_partial_head, Ordering::Relaxed);
