--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -19,9 +19,8 @@
 /// Maximum numbers of open connections of one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
-    /// The serving limit: the maximum number of connections whose requests are served. A connection is
-    /// admitted with its first request if the limit allows it, and is then served until it lingers or is
-    /// closed.
+    /// The serving limit: requests are served as long as no more connections than this are open, not counting
+    /// lingering ones. A connection that has been admitted once is served until it is closed.
     pub max_served: usize,
     /// Maximum number of additional connections, whose requests are rejected because of overload.
     pub max_rejected: usize,
@@ -61,19 +60,16 @@
         self.slots.borrow_mut().retain(|other| other.id() != slot.id());
     }
 
-    /// Admits the connection if the serving limit allows it. Returns whether the connection is admitted, now
-    /// or by an earlier call, so that its requests are served.
-    ///
-    /// Connections that have not completed a request head yet do not count, because the clients of such
-    /// connections may never send a request.
+    /// Admits the connection if the number of serving connections is within the serving limit. Returns whether
+    /// the connection is admitted, now or by an earlier call, so that its requests are served.
     pub(super) fn try_admit(&self, slot: &ConnectionSlot) -> bool {
-        if self.count(|slot| slot.is_admitted() && slot.is_serving()) < self.limits.max_served {
+        if self.serving_count() <= self.limits.max_served {
             slot.admit();
         }
         slot.is_admitted()
     }
 
-    /// Returns whether one more connection could exceed a limit, so that its requests would be rejected or it
+    /// Returns whether one more connection would exceed a limit, so that its requests would be rejected or it
     /// would not be accepted.
     pub(super) fn is_limit_reached(&self) -> bool {
         self.is_serving_limit_reached() || self.slots.borrow().len() >= self.limits.max_open()
@@ -85,16 +81,16 @@
 
     /// Returns whether no more connections can be accepted, even once the evicted ones are closed.
     fn is_full_after_evictions(&self) -> bool {
-        self.count(|slot| slot.state() != ConnectionState::Evicted) >= self.limits.max_open()
+        self.count(|state| state != ConnectionState::Evicted) >= self.limits.max_open()
     }
 
-    /// Returns the number of connections on which requests are served or may still arrive.
+    /// Returns the number of connections that have served a request, or may still do so.
     fn serving_count(&self) -> usize {
-        self.count(|slot| slot.is_serving())
+        self.count(|state| !matches!(state, ConnectionState::Lingering | ConnectionState::Evicted))
     }
 
-    fn count(&self, matches: impl Fn(&ConnectionSlot) -> bool) -> usize {
-        self.slots.borrow().iter().filter(|slot| matches(slot)).count()
+    fn count(&self, matches: impl Fn(ConnectionState) -> bool) -> usize {
+        self.slots.borrow().iter().filter(|slot| matches(slot.state())).count()
     }
 
     /// Evicts connections if a limit is reached.
