Count all open connections towards the serving limit again

Cause: with that change, silent connections and incomplete heads no longer count towards the serving limit, so that they can fill the connections whose requests are rejected, which must stay free for quick rejections.

--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -119,11 +119,6 @@
         *self.lock_status() = SlotStatus::starting_now(state);
     }
 
-    /// Returns whether a request is served on the connection, or may still arrive.
-    pub(super) fn is_serving(&self) -> bool {
-        !matches!(self.state(), ConnectionState::Lingering | ConnectionState::Evicted)
-    }
-
     /// Records that bytes have been received from the client. `has_partial_head` states whether the bytes
     /// received so far end within the head of a request.
     pub(super) fn record_received_bytes(&self, has_partial_head: bool) {
