Take the status of each connection once in a check for evictions

Cause: at the serving limit, every accepted connection is followed by a check for evictions. Since, the sort of the idle connections locked two slots for each comparison and the clock was read for each slot, so that accepting became slower and connections waited.

Change: the check reads the clock once and the status of each connection once for the sort, and ends early if no limit is reached or no idle connection is in excess. Which connections are evicted is unchanged.

--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -46,9 +46,9 @@
         SlotStatus { state, since: Instant::now() }
     }
 
-    /// Returns whether the connection has been in `state` for at least `duration`.
-    pub(super) fn has_been(self, state: ConnectionState, duration: Duration) -> bool {
-        self.state == state && self.since.elapsed() >= duration
+    /// Returns whether the connection has been in `state` for at least `duration` at the time `now`.
+    pub(super) fn has_been(self, state: ConnectionState, duration: Duration, now: Instant) -> bool {
+        self.state == state && now.saturating_duration_since(self.since) >= duration
     }
 }
 
--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -1,9 +1,10 @@
 //! The client connections of a listener, and their eviction once a connection limit is reached.
 
-use super::connection_slot::{ConnectionSlot, ConnectionState};
+use super::connection_slot::{ConnectionSlot, ConnectionState, SlotStatus};
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Duration after which a new connection can be evicted if its client has not sent a byte.
 const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(50);
@@ -81,7 +82,8 @@
 
     /// Returns whether no more connections can be accepted, even once the evicted ones are closed.
     fn is_full_after_evictions(&self) -> bool {
-        self.count(|state| state != ConnectionState::Evicted) >= self.limits.max_open()
+        self.slots.borrow().len() >= self.limits.max_open()
+            && self.count(|state| state != ConnectionState::Evicted) >= self.limits.max_open()
     }
 
     /// Returns the number of connections that have served a request, or may still do so.
@@ -104,31 +106,38 @@
     /// still does not allow one more connection, evicts the longest idle connections until it does, except
     /// those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`].
     pub(super) fn evict_stale(&self) {
+        if !self.is_limit_reached() {
+            return;
+        }
+        let now = Instant::now();
         if self.is_full_after_evictions() {
-            self.evict_all(ConnectionState::Lingering, MIN_LINGER_TIME_BEFORE_EVICTION);
+            self.evict_where(|status| {
+                status.has_been(ConnectionState::Lingering, MIN_LINGER_TIME_BEFORE_EVICTION, now)
+            });
         }
         if self.is_serving_limit_reached() || self.is_full_after_evictions() {
-            self.evict_all(ConnectionState::AwaitingFirstByte, MIN_SILENCE_BEFORE_EVICTION);
-            self.evict_all(ConnectionState::ReadingHead, MIN_HEAD_TIME_BEFORE_EVICTION);
-            self.evict_longest_idle();
+            self.evict_where(|status| {
+                status.has_been(ConnectionState::AwaitingFirstByte, MIN_SILENCE_BEFORE_EVICTION, now)
+                    || status.has_been(ConnectionState::ReadingHead, MIN_HEAD_TIME_BEFORE_EVICTION, now)
+            });
+            self.evict_longest_idle(now);
         }
     }
 
-    /// Evicts every connection that has been in `state` for at least `min_time`.
-    fn evict_all(&self, state: ConnectionState, min_time: Duration) {
+    fn evict_where(&self, is_evictable: impl Fn(SlotStatus) -> bool) {
         let slots = self.slots.borrow();
-        let evictable = slots.iter().filter(|slot| slot.status().has_been(state, min_time));
-        evictable.for_each(|slot| slot.evict());
+        slots.iter().filter(|slot| is_evictable(slot.status())).for_each(|slot| slot.evict());
     }
 
-    fn evict_longest_idle(&self) {
+    fn evict_longest_idle(&self, now: Instant) {
         let excess = (self.serving_count() + 1).saturating_sub(self.limits.max_served);
+        if excess == 0 {
+            return;
+        }
         let slots = self.slots.borrow();
-        let is_evictable = |slot: &&Arc<ConnectionSlot>| {
-            slot.status().has_been(ConnectionState::Idle, MIN_IDLE_TIME_BEFORE_EVICTION)
-        };
-        let mut idle: Vec<_> = slots.iter().filter(is_evictable).collect();
-        idle.sort_by_key(|slot| slot.status().since);
-        idle.into_iter().take(excess).for_each(|slot| slot.evict());
+        let mut idle: Vec<_> = slots.iter().map(|slot| (slot.status(), slot)).collect();
+        idle.retain(|(status, _)| status.has_been(ConnectionState::Idle, MIN_IDLE_TIME_BEFORE_EVICTION, now));
+        idle.sort_by_key(|(status, _)| status.since);
+        idle.into_iter().take(excess).for_each(|(_, slot)| slot.evict());
     }
 }
