--- a/review/stand-ins-2/rig.rs
+++ b/review/stand-ins-2/rig.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -427,6 +427,8 @@
 pub struct Discovery {
     pub address: SocketAddr,
     pub state: Arc<(Mutex<DiscoveryState>, Condvar)>,
+    retired: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Discovery {
@@ -439,10 +441,18 @@
             crowded_until: None,
             crowded_wait: Duration::from_secs(2),
         };
-        let discovery = Discovery { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
+        let state = Arc::new((Mutex::new(state), Condvar::new()));
+        let discovery = Discovery { address, state, retired: Arc::default(), open: Arc::default() };
         let (accepting, record) = (discovery.clone(), record.clone());
+        listener.set_nonblocking(true).expect("discovery");
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !accepting.retired.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                stream.set_nonblocking(false).expect("a blocking socket");
+                accepting.open.lock().unwrap().push(stream.try_clone().expect("a socket"));
                 let (discovery, record) = (accepting.clone(), record.clone());
                 std::thread::spawn(move || discovery.serve(stream, &record, name));
             }
@@ -505,6 +515,16 @@
         self.state.1.notify_all();
     }
 
+    /// Discovery has moved away: accepts no new connection, and closes the open ones after 1.5 s.
+    pub fn retire(&self) {
+        self.retired.store(true, Ordering::Relaxed);
+        let open = self.open.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(1500));
+            open.lock().unwrap().iter().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+        });
+    }
+
     pub fn known(&self) -> String {
         self.state.0.lock().unwrap().whole()
     }
