--- a/review/stand-ins-2/rig.rs
+++ b/review/stand-ins-2/rig.rs
@@ -372,6 +372,49 @@
     }
 }
 
+/// The share of a core that the configurations state; `limit_cpu` enforces it.
+pub static CORES: Mutex<f64> = Mutex::new(1.0);
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
+/// The platform's limit on processor time: in each 100 ms, a process that has used its share is stopped until the
+/// end of that time.
+pub fn limit_cpu(record: &Record, pid: u32, cores: f64) {
+    const PERIOD: Duration = Duration::from_millis(100);
+    // Nanoseconds that the process's threads have run.
+    let used = move || -> Option<u64> {
+        let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).ok()?;
+        let times = tasks.flatten().filter_map(|task| std::fs::read_to_string(task.path().join("schedstat")).ok());
+        Some(times.filter_map(|text| text.split(' ').next()?.parse::<u64>().ok()).sum())
+    };
+    let quota = (PERIOD.as_nanos() as f64 * cores) as u64;
+    let record = record.clone();
+    std::thread::spawn(move || {
+        let mut stops = 0u64;
+        loop {
+            let begun = Instant::now();
+            let Some(before) = used() else { return };
+            while begun.elapsed() < PERIOD {
+                if used().is_none_or(|now| now.saturating_sub(before) >= quota) {
+                    unsafe { kill(pid as i32, SIGSTOP) };
+                    std::thread::sleep(PERIOD.saturating_sub(begun.elapsed()));
+                    unsafe { kill(pid as i32, SIGCONT) };
+                    stops += 1;
+                    if stops % 10 == 0 {
+                        record.line(format!("the gateway has used its share of {cores} core in {stops} times of 100 ms"));
+                    }
+                    break;
+                }
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        }
+    });
+}
+
 struct ConfigText<'a> {
     index: usize,
     listen: SocketAddr,
@@ -385,8 +428,8 @@
 impl ConfigText<'_> {
     fn text(&self) -> String {
         format!(
-            r#"{{"name":"n{}","listen":"{}","discovery":"{}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}}"#,
-            self.index, self.listen, self.discovery, 0x8c1f_30d2_7a5b_e964u64.wrapping_add(self.index as u64 * 0x1234_5677), self.memory_mb,
+            r#"{{"name":"n{}","listen":"{}","discovery":"{}","seed":"{:016x}","limits":{{"cores":{},"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}}"#,
+            self.index, self.listen, self.discovery, 0x8c1f_30d2_7a5b_e964u64.wrapping_add(self.index as u64 * 0x1234_5677), CORES.lock().unwrap(), self.memory_mb,
             self.sockets, self.known, self.settings
         )
     }
