--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -3,7 +3,10 @@
 #[path = "../stand-ins-2/rig.rs"]
 mod rig;
 
-use rig::{Discovery, Endpoint, Gateway, Record, Request, Settings, answer, finish, read_message, start_case, start_node};
+use rig::{
+    Discovery, Endpoint, Gateway, Record, Request, Settings, answer, finish, read_message, start_case,
+    start_node,
+};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -33,7 +36,9 @@
 
 /// Sends one request on a new connection and waits until half a second after its time.
 fn ask_on_new_connection(gateway: SocketAddr, request: &Request) -> End {
-    let Ok(mut stream) = TcpStream::connect_timeout(&gateway, Duration::from_millis(100)) else { return End::NotAccepted };
+    let Ok(mut stream) = TcpStream::connect_timeout(&gateway, Duration::from_millis(100)) else {
+        return End::NotAccepted;
+    };
     let _ = stream.set_nodelay(true);
     if stream.write_all(&request.bytes()).is_err() {
         return End::Closed { ms: 0 };
@@ -60,7 +65,11 @@
             return;
         }
         let Some((head, _)) = read_message(&mut stream, &mut buffer, || ()) else { return };
-        record.line(format!("resting client {number}: {} in {} ms", head.status(), sent.elapsed().as_millis()));
+        record.line(format!(
+            "resting client {number}: {} in {} ms",
+            head.status(),
+            sent.elapsed().as_millis()
+        ));
         sleep(Duration::from_millis(500 + (number * 37 + block * 91) % 1000));
     }
 }
@@ -90,7 +99,14 @@
         })
         .collect();
     let discovery = Discovery::start(&record, "A", nodes, 41);
-    let gateway = Gateway::start(&case, &Settings::default(), discovery.address, &discovery.known(), SOCKETS, MEMORY_MB);
+    let gateway = Gateway::start(
+        &case,
+        &Settings::default(),
+        discovery.address,
+        &discovery.known(),
+        SOCKETS,
+        MEMORY_MB,
+    );
     let listen = gateway.listen;
     for number in 0..USUAL as u64 {
         let record = record.clone();
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,105 +1,185 @@
-//! A new configuration moves discovery, whose callers are too many for the first two seconds.
+//! Bad clients send long bodies in chunks of one byte; the gateway's memory passes its limit.
 
 #[path = "../stand-ins-2/rig.rs"]
 mod rig;
 
-use rig::{Discovery, Endpoint, Gateway, Record, Request, Settings, answer, finish, read_message, signal, start_case, start_node, unix_ms};
-use std::io::Write;
+use rig::{
+    Discovery, Endpoint, Gateway, Head, Record, Request, Settings, answer, finish, read_message, signal,
+    start_case, start_node,
+};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-/// The fleet has 300 gateways; the case runs every tenth of them.
-const FLEET: usize = 300;
-const STEP: usize = 10;
-/// Told 4 s after SIGHUP, 2 s of grace, 50 ms of slack.
-const LIMIT_S: f64 = 4.0 + 2.0 + 0.05;
+/// Descriptors and memory of a gateway, as in a report of the user's (inc6056).
+const SOCKETS: usize = 384;
+const MEMORY_MB: usize = 48;
+/// Connections of usual clients, and of bad clients in one wave.
+const USUAL: u64 = 20;
+const BAD: u64 = 60;
+const WAVES: usize = 3;
+/// Length of a bad client's body, in bytes of data.
+const BODY: usize = 60_000_000;
 
-fn client(gateway: SocketAddr, index: usize, number: u64, record: Record) {
+/// A line of the process's status, in kB; 0 if the process is gone.
+fn memory_kb(pid: u32, name: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.split_whitespace().nth(1)).and_then(|kb| kb.parse().ok()).unwrap_or(0)
+}
+
+fn usual_client(gateway: SocketAddr, number: u64, record: Record, unanswered: Arc<AtomicU64>) {
     let Ok(mut stream) = TcpStream::connect(gateway) else { return };
     let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(1300)));
     let mut buffer = Vec::new();
-    sleep(Duration::from_millis((index as u64 * 7 + number * 50) % 200));
     for block in 0.. {
-        let request = Request::read(750, index as u64, 0, block);
+        let request = Request::read(750, number, (number % 9) as u32, block);
         let sent = Instant::now();
         if stream.write_all(&request.bytes()).is_err() {
             return;
         }
-        let Some((head, _)) = read_message(&mut stream, &mut buffer, || ()) else { return };
-        record.line(format!("client of n{index}, request {}: {}", request.id, head.status()));
-        sleep(Duration::from_millis(200).saturating_sub(sent.elapsed()));
+        let Some((head, _)) = read_message(&mut stream, &mut buffer, || ()) else {
+            unanswered.fetch_add(1, Ordering::Relaxed);
+            record.line(format!(
+                "usual client {number}, request {}: NO ANSWER, connection ended or silent after {} ms",
+                request.id,
+                sent.elapsed().as_millis()
+            ));
+            return;
+        };
+        record.line(format!(
+            "usual client {number}, request {}: {} in {} ms",
+            request.id,
+            head.status(),
+            sent.elapsed().as_millis()
+        ));
+        sleep(Duration::from_millis(150));
     }
 }
 
+fn bad_client(gateway: SocketAddr, wave: usize, number: u64, record: Record) {
+    let Ok(mut stream) = TcpStream::connect_timeout(&gateway, Duration::from_secs(1)) else { return };
+    let request = Request::read(1500, number, (number % 9) as u32, number);
+    let head = format!(
+        "PUT /api/{number:016x} HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {}\r\nReq-Kind: order-write\r\nTier: basic\r\n\
+         Req-Deadline: 1500m\r\nTransfer-Encoding: chunked\r\nIO-Info: volume={number:016x},units=8,shard={},hosts=3\r\n\r\n",
+        request.id, request.shard
+    );
+    let begun = Instant::now();
+    let mut reader = stream.try_clone().expect("a socket");
+    // It reads whatever is sent to it.
+    let reading = spawn(move || {
+        let mut chunk = [0; 4096];
+        let mut first = String::new();
+        while let Ok(length) = reader.read(&mut chunk) {
+            if length == 0 {
+                break;
+            }
+            if first.is_empty() {
+                first =
+                    String::from_utf8_lossy(&chunk[..length.min(60)]).lines().next().unwrap_or("").to_owned();
+            }
+        }
+        first
+    });
+    let chunks = b"1\r\nx\r\n".repeat(1000);
+    let mut sent = 0;
+    if stream.write_all(head.as_bytes()).is_ok() {
+        while sent < BODY && begun.elapsed() < Duration::from_secs(6) && stream.write_all(&chunks).is_ok() {
+            sent += 1000;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    let first = reading.join().unwrap_or_default();
+    record.line(format!(
+        "bad client {wave}/{number}: {sent} chunks sent in {} ms; answer: {first}",
+        begun.elapsed().as_millis()
+    ));
+}
+
 fn main() {
     let case = start_case(60);
     let record = case.record.clone();
-    // Time of the last SIGHUP, and the requests that reached the draining node too late.
-    let moved_at = Arc::new(Mutex::new(None::<f64>));
-    let late = Arc::new(Mutex::new(Vec::<String>::new()));
-    let old = {
-        let (record, moved_at, late) = (record.clone(), moved_at.clone(), late.clone());
-        start_node(&case.record, Arc::new(move |head, begun| {
-            let moved_at = *moved_at.lock().unwrap();
-            let since = moved_at.map(|at| begun - at);
-            let gateway = u64::from_str_radix(&head.io_info("volume"), 16).unwrap_or(0);
-            if let Some(since) = since.filter(|since| *since > LIMIT_S) {
-                let line = format!("s-old: request {} from n{gateway} began {since:.3} s after SIGHUP: TOO LATE", head.get("req-id"));
-                record.line(&line);
-                late.lock().unwrap().push(line);
-                // Draining: it turns new work away.
-                return answer("503 Service Unavailable", "Srv-Declined: 1\r\n", "");
+    let nodes: Vec<Endpoint> = (0..9)
+        .map(|group| {
+            let record = record.clone();
+            let node = Arc::new(move |head: &Head, _: f64| {
+                record.line(format!("s-{group}: runs request {}", head.get("req-id")));
+                sleep(Duration::from_millis(10));
+                answer("200 OK", "", "order")
+            });
+            Endpoint {
+                name: format!("s-{group}"),
+                address: start_node(&case.record, node),
+                group,
+                status: "Ready",
+                since_ms: 0,
             }
-            record.line(format!("s-old: request {} from n{gateway}, {since:?} s after SIGHUP", head.get("req-id")));
-            sleep(Duration::from_millis(10));
-            answer("200 OK", "", "order")
-        }))
-    };
-    let new = {
-        let record = record.clone();
-        start_node(&case.record, Arc::new(move |head, _| {
-            record.line(format!("s-new: request {}", head.get("req-id")));
-            sleep(Duration::from_millis(10));
-            answer("200 OK", "", "order")
-        }))
-    };
-    let entry = |name: &str, address, status, since_ms| Endpoint { name: name.to_owned(), address, group: 0, status, since_ms };
-    let first = Discovery::start(&record, "A", vec![entry("s-old", old, "Ready", 0)], 41);
-    let second = Discovery::start(&record, "B", vec![entry("s-old", old, "Ready", 0)], 41);
-    let known = first.known();
-    let gateways: Vec<Gateway> = (0..FLEET / STEP)
-        .map(|number| {
-            let settings = Settings { gateways: FLEET, index: number * STEP, ..Settings::default() };
-            Gateway::start(&case, &settings, first.address, &known, 256, 48)
         })
         .collect();
-    for (number, gateway) in gateways.iter().enumerate() {
-        for connection in 0..2 {
-            let (listen, record) = (gateway.listen, record.clone());
-            spawn(move || client(listen, number * STEP, connection, record));
-        }
+    let discovery = Discovery::start(&record, "A", nodes, 41);
+    let gateway = Gateway::start(
+        &case,
+        &Settings::default(),
+        discovery.address,
+        &discovery.known(),
+        SOCKETS,
+        MEMORY_MB,
+    );
+    let (listen, pid) = (gateway.listen, gateway.child.id());
+    let (killed, unanswered) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    // The platform: a gateway over its limit of memory is killed. Counts anonymous memory alone.
+    {
+        let (record, killed) = (record.clone(), killed.clone());
+        spawn(move || {
+            let mut peak = 0;
+            loop {
+                let kb = memory_kb(pid, "RssAnon");
+                if kb > peak + 4096 {
+                    peak = kb;
+                    record.line(format!("gateway: {kb} kB of anonymous memory"));
+                }
+                if kb > MEMORY_MB as u64 * 1024 {
+                    record.say(format!(
+                        "gateway: {kb} kB of memory, over the limit of {MEMORY_MB} MB: killed by the platform"
+                    ));
+                    killed.store(true, Ordering::Relaxed);
+                    signal(pid, "KILL");
+                    return;
+                }
+                sleep(Duration::from_millis(5));
+            }
+        });
     }
-    // Longer than the first polls of the fleet may take.
-    sleep(Duration::from_secs(7));
-    // s-old begins to drain and its successor is listed; only the new discovery tells so.
-    let changed = [entry("s-old", old, "Terminating", 0), entry("s-new", new, "Ready", unix_ms())];
-    if case.trouble {
-        second.state.0.lock().unwrap().crowded_until = Some(Instant::now() + Duration::from_millis(1500));
+    for number in 0..USUAL {
+        let (record, unanswered) = (record.clone(), unanswered.clone());
+        spawn(move || usual_client(listen, number, record, unanswered));
     }
-    second.change(&changed);
-    first.retire();
-    record.line("discovery moves from A to B; B's list has s-old draining and s-new; the configurations are replaced");
-    for gateway in &gateways {
-        gateway.write_config(second.address);
-        signal(gateway.child.id(), "HUP");
+    sleep(Duration::from_secs(2));
+    for wave in 0..WAVES {
+        if case.trouble && !killed.load(Ordering::Relaxed) {
+            record.line(format!(
+                "wave {wave}: {BAD} bad clients send bodies of {BODY} bytes in chunks of one byte"
+            ));
+            let clients: Vec<_> = (0..BAD)
+                .map(|number| {
+                    let record = record.clone();
+                    spawn(move || bad_client(listen, wave, number, record))
+                })
+                .collect();
+            clients.into_iter().for_each(|client| client.join().unwrap());
+        }
+        sleep(Duration::from_secs(2));
     }
-    *moved_at.lock().unwrap() = Some(record.now());
-    record.line("all gateways have got SIGHUP");
-    sleep(Duration::from_secs(10));
-    let late = late.lock().unwrap();
-    late.iter().for_each(|line| println!("{line}"));
-    record.say(format!("requests that began at the draining node later than {LIMIT_S:.2} s after SIGHUP: {}", late.len()));
-    finish(i32::from(!late.is_empty()))
+    let killed = killed.load(Ordering::Relaxed);
+    record.say(format!(
+        "most memory (VmHWM): {} kB; killed: {killed}; requests of usual clients without an answer: {}",
+        memory_kb(pid, "VmHWM"),
+        unanswered.load(Ordering::Relaxed)
+    ));
+    finish(i32::from(killed))
 }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,18 +1,23 @@
-//! The settings say that lists are pushed; a storage node drains and its successor is listed.
+//! A new configuration moves discovery, whose callers are too many for the first two seconds.
 
 #[path = "../stand-ins-2/rig.rs"]
 mod rig;
 
-use rig::{Discovery, Endpoint, Gateway, Record, Request, Settings, answer, finish, read_message, start_case, start_node, unix_ms};
+use rig::{
+    Discovery, Endpoint, Gateway, Record, Request, Settings, answer, finish, read_message, signal,
+    start_case, start_node, unix_ms,
+};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-const GATEWAYS: usize = 3;
-/// Told when the agent has it, 2 s of grace, 50 ms of slack.
-const LIMIT_S: f64 = 2.0 + 0.05;
+/// The fleet has 300 gateways; the case runs every tenth of them.
+const FLEET: usize = 300;
+const STEP: usize = 10;
+/// Told 4 s after SIGHUP, 2 s of grace, 50 ms of slack.
+const LIMIT_S: f64 = 4.0 + 2.0 + 0.05;
 
 fn client(gateway: SocketAddr, index: usize, number: u64, record: Record) {
     let Ok(mut stream) = TcpStream::connect(gateway) else { return };
@@ -34,59 +39,93 @@
 fn main() {
     let case = start_case(60);
     let record = case.record.clone();
-    // Time of the change, and the requests that reached the draining node too late.
+    // Time of the last SIGHUP, and the requests that reached the draining node too late.
     let moved_at = Arc::new(Mutex::new(None::<f64>));
     let late = Arc::new(Mutex::new(Vec::<String>::new()));
     let old = {
         let (record, moved_at, late) = (record.clone(), moved_at.clone(), late.clone());
-        start_node(&case.record, Arc::new(move |head, begun| {
-            let moved_at = *moved_at.lock().unwrap();
-            let since = moved_at.map(|at| begun - at);
-            let gateway = u64::from_str_radix(&head.io_info("volume"), 16).unwrap_or(0);
-            if let Some(since) = since.filter(|since| *since > LIMIT_S) {
-                let line = format!("s-old: request {} from n{gateway} began {since:.3} s after the agent had the change: TOO LATE", head.get("req-id"));
-                record.line(&line);
-                late.lock().unwrap().push(line);
-                // Draining: it turns new work away.
-                return answer("503 Service Unavailable", "Srv-Declined: 1\r\n", "");
-            }
-            record.line(format!("s-old: request {} from n{gateway}, {since:?} s after the agent had the change", head.get("req-id")));
-            sleep(Duration::from_millis(10));
-            answer("200 OK", "", "order")
-        }))
+        start_node(
+            &case.record,
+            Arc::new(move |head, begun| {
+                let moved_at = *moved_at.lock().unwrap();
+                let since = moved_at.map(|at| begun - at);
+                let gateway = u64::from_str_radix(&head.io_info("volume"), 16).unwrap_or(0);
+                if let Some(since) = since.filter(|since| *since > LIMIT_S) {
+                    let line = format!(
+                        "s-old: request {} from n{gateway} began {since:.3} s after SIGHUP: TOO LATE",
+                        head.get("req-id")
+                    );
+                    record.line(&line);
+                    late.lock().unwrap().push(line);
+                    // Draining: it turns new work away.
+                    return answer("503 Service Unavailable", "Srv-Declined: 1\r\n", "");
+                }
+                record.line(format!(
+                    "s-old: request {} from n{gateway}, {since:?} s after SIGHUP",
+                    head.get("req-id")
+                ));
+                sleep(Duration::from_millis(10));
+                answer("200 OK", "", "order")
+            }),
+        )
     };
     let new = {
         let record = record.clone();
-        start_node(&case.record, Arc::new(move |head, _| {
-            record.line(format!("s-new: request {}", head.get("req-id")));
-            sleep(Duration::from_millis(10));
-            answer("200 OK", "", "order")
-        }))
+        start_node(
+            &case.record,
+            Arc::new(move |head, _| {
+                record.line(format!("s-new: request {}", head.get("req-id")));
+                sleep(Duration::from_millis(10));
+                answer("200 OK", "", "order")
+            }),
+        )
     };
-    let entry = |name: &str, address, status, since_ms| Endpoint { name: name.to_owned(), address, group: 0, status, since_ms };
-    // The agent: discovery as the Protocol page describes it.
-    let agent = Discovery::start(&record, "A", vec![entry("s-old", old, "Ready", 0)], 41);
-    let gateways: Vec<Gateway> = (0..GATEWAYS)
-        .map(|index| {
-            let settings = Settings { gateways: GATEWAYS, index, discovery: "pushed", ..Settings::default() };
-            Gateway::start(&case, &settings, agent.address, &agent.known(), 256, 48)
+    let entry = |name: &str, address, status, since_ms| Endpoint {
+        name: name.to_owned(),
+        address,
+        group: 0,
+        status,
+        since_ms,
+    };
+    let first = Discovery::start(&record, "A", vec![entry("s-old", old, "Ready", 0)], 41);
+    let second = Discovery::start(&record, "B", vec![entry("s-old", old, "Ready", 0)], 41);
+    let known = first.known();
+    let gateways: Vec<Gateway> = (0..FLEET / STEP)
+        .map(|number| {
+            let settings = Settings { gateways: FLEET, index: number * STEP, ..Settings::default() };
+            Gateway::start(&case, &settings, first.address, &known, 256, 48)
         })
         .collect();
-    for (index, gateway) in gateways.iter().enumerate() {
+    for (number, gateway) in gateways.iter().enumerate() {
         for connection in 0..2 {
             let (listen, record) = (gateway.listen, record.clone());
-            spawn(move || client(listen, index, connection, record));
+            spawn(move || client(listen, number * STEP, connection, record));
         }
     }
-    sleep(Duration::from_secs(4));
+    // Longer than the first polls of the fleet may take.
+    sleep(Duration::from_secs(7));
+    // s-old begins to drain and its successor is listed; only the new discovery tells so.
+    let changed = [entry("s-old", old, "Terminating", 0), entry("s-new", new, "Ready", unix_ms())];
     if case.trouble {
-        agent.change(&[entry("s-old", old, "Terminating", 0), entry("s-new", new, "Ready", unix_ms())]);
-        *moved_at.lock().unwrap() = Some(record.now());
-        record.line("the agent has the change: s-old drains, s-new has started");
+        second.state.0.lock().unwrap().crowded_until = Some(Instant::now() + Duration::from_millis(1500));
+    }
+    second.change(&changed);
+    first.retire();
+    record.line(
+        "discovery moves from A to B; B's list has s-old draining and s-new; the configurations are replaced",
+    );
+    for gateway in &gateways {
+        gateway.write_config(second.address);
+        signal(gateway.child.id(), "HUP");
     }
-    sleep(Duration::from_secs(15));
+    *moved_at.lock().unwrap() = Some(record.now());
+    record.line("all gateways have got SIGHUP");
+    sleep(Duration::from_secs(10));
     let late = late.lock().unwrap();
     late.iter().for_each(|line| println!("{line}"));
-    record.say(format!("requests that began at the draining node later than {LIMIT_S:.2} s after the agent had the change: {}", late.len()));
+    record.say(format!(
+        "requests that began at the draining node later than {LIMIT_S:.2} s after SIGHUP: {}",
+        late.len()
+    ));
     finish(i32::from(!late.is_empty()))
 }
