--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -66,7 +66,8 @@
         }
         let Some((head, _)) = read_message(&mut stream, &mut buffer, || ()) else { return };
         record.line(format!(
-            "resting client {number}: {} in {} ms",
+            "resting client {number}, request {}: {} in {} ms",
+            request.id,
             head.status(),
             sent.elapsed().as_millis()
         ));
@@ -90,7 +91,9 @@
     let record = case.record.clone();
     let nodes: Vec<Endpoint> = (0..9)
         .map(|group| {
-            let node = Arc::new(move |_: &rig::Head, _: f64| {
+            let running = record.clone();
+            let node = Arc::new(move |head: &rig::Head, _: f64| {
+                running.line(format!("s-{group}: runs request {}", head.get("req-id")));
                 sleep(Duration::from_millis(15));
                 answer("200 OK", "", "order")
             });
@@ -130,6 +133,7 @@
             clients.push(spawn(move || {
                 let request = Request::read(DEADLINE_MS, number % 40, (number % 9) as u32, 1_000_000 + number);
                 let id = request.id.clone();
+                record.line(format!("wave {wave}, new client {number}: connects and sends request {id}"));
                 let end = ask_on_new_connection(listen, &request);
                 let mut counts = lost.lock().unwrap();
                 match end {
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -38,10 +38,11 @@
     let mut buffer = Vec::new();
     for block in 0.. {
         let request = Request::read(750, number, (number % 9) as u32, block);
-        let sent = Instant::now();
+        record.line(format!("usual client {number}: sends request {}", request.id));
         if stream.write_all(&request.bytes()).is_err() {
             return;
         }
+        let sent = Instant::now();
         let Some((head, _)) = read_message(&mut stream, &mut buffer, || ()) else {
             unanswered.fetch_add(1, Ordering::Relaxed);
             record.line(format!(
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,4 +1,4 @@
-//! A new configuration moves discovery, whose callers are too many for the first two seconds.
+//! A new configuration moves discovery, whose callers are too many for the first 1.5 seconds.
 
 #[path = "../stand-ins-2/rig.rs"]
 mod rig;
@@ -27,6 +27,7 @@
     for block in 0.. {
         let request = Request::read(750, index as u64, 0, block);
         let sent = Instant::now();
+        record.line(format!("client of n{index}: sends request {}", request.id));
         if stream.write_all(&request.bytes()).is_err() {
             return;
         }
