Read bodies into one buffer within a budget for the memory of all requests

Cause: Limited::collect keeps an entry of 32 bytes for each part of a body, and the read buffer behind it. Its limit counts the data alone, and nothing bounded the sum over all connections. A request in progress also kept the buffer of its complete head.

Change: bodies are appended to one buffer, in the platform front end within a budget of a quarter of limits.memory_mb; the oldest incomplete body gives way to a new one. Requests hold copies of the forwarded parts of their heads. Discovery and the administration API use the same reader.

--- a/src/gateway/admin_frontend.rs
+++ b/src/gateway/admin_frontend.rs
@@ -1,5 +1,6 @@
 //! Front end for the administration API: authorizes and executes operators' commands.
 
+use super::body_reader::collect_body;
 use super::frontend::{Frontend, add_bearer_challenge};
 use super::inventory::{InventoryCommand, InventoryReadError};
 use super::metrics::GatewayMetrics;
@@ -7,7 +8,6 @@
 use crate::protocol::admin::{self, AdminOperation, AdminRequestError, NodeView, TenantDefinition};
 use crate::protocol::object::bearer_token;
 use crate::transport::{Admission, LifecyclePhase, RequestContext, ResponseBody, full_body};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -143,11 +143,11 @@
     }
 
     async fn put_tenant(&self, name: String, body: Incoming) -> AdminResponse {
-        let Ok(body) = Limited::new(body, MAX_BODY_LEN).collect().await else {
+        let Ok(body) = collect_body(body, MAX_BODY_LEN).await else {
             let text = "the body is too large or broke off";
             return AdminResponse::error(StatusCode::PAYLOAD_TOO_LARGE, text);
         };
-        let mut definition: TenantDefinition = match serde_json::from_slice(&body.to_bytes()) {
+        let mut definition: TenantDefinition = match serde_json::from_slice(&body) {
             Ok(definition) => definition,
             Err(error) => return AdminResponse::error(StatusCode::BAD_REQUEST, error.to_string()),
         };
--- a/src/gateway/config/platform.rs
+++ b/src/gateway/config/platform.rs
@@ -13,6 +13,11 @@
 /// Maximum number of open file descriptors if the configuration does not specify it: the platform's limit on
 /// scored days (Deployment page, "Limits").
 const DEFAULT_DESCRIPTORS: usize = 1024;
+/// Memory of the process if the configuration does not specify it, in megabytes: the most that the platform
+/// gives on scored days (Deployment page, "Limits").
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// Number of bytes in a megabyte of the configuration.
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 /// Time after which a storage node closes an idle connection if the settings do not specify it: the value of
 /// `connIdleUs` in the example settings on the Wire page.
 const DEFAULT_NODE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -35,11 +40,12 @@
 struct LimitsSection {
     #[serde(rename = "sockets")]
     descriptors: usize,
+    memory_mb: f64,
 }
 
 impl Default for LimitsSection {
     fn default() -> Self {
-        LimitsSection { descriptors: DEFAULT_DESCRIPTORS }
+        LimitsSection { descriptors: DEFAULT_DESCRIPTORS, memory_mb: DEFAULT_MEMORY_MB }
     }
 }
 
@@ -67,6 +73,8 @@
     pub seed: u64,
     /// Maximum number of open file descriptors of the process; 1024 if the file does not specify it.
     pub descriptors: usize,
+    /// Memory that the process may use, in bytes; 192 MB if the file does not specify it.
+    pub memory: usize,
     /// The most recent endpoint list that this gateway had before it started, which may be out of date;
     /// `None` if the file contains none or a malformed one.
     pub cached_list: Option<EndpointList>,
@@ -107,6 +115,7 @@
             discovery: file.discovery,
             seed,
             descriptors: file.limits.descriptors,
+            memory: (file.limits.memory_mb * BYTES_PER_MB) as usize,
             cached_list: file.cached_list.and_then(decode_cached_list),
             names: name_table(&file.settings, &settings),
             zone_names: file.settings.zone_names(),
--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery.rs
@@ -1,5 +1,6 @@
 //! Polls the discovery service for the endpoint list and publishes the results to the router.
 
+use super::body_reader::collect_body;
 use super::log;
 use super::metrics::GatewayMetrics;
 use super::node_registry::NodeRegistry;
@@ -8,7 +9,6 @@
 use crate::scheduler::EndpointUpdate;
 use crate::transport::NodeConnection;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -243,10 +243,10 @@
         if response.status() != hyper::StatusCode::OK {
             return Err(FetchError::UnusableResponse);
         }
-        let Ok(body) = Limited::new(response.into_body(), MAX_LIST_LEN).collect().await else {
+        let Ok(body) = collect_body(response.into_body(), MAX_LIST_LEN).await else {
             return Err(FetchError::UnusableResponse);
         };
         *idle_connection = Some(connection);
-        Ok(body.to_bytes())
+        Ok(body)
     }
 }
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -1,15 +1,12 @@
-//! Code that the front ends share: the [`Frontend`] trait, health checks, reading of request bodies, and the
-//! margin for sending a response.
+//! Code that the front ends share: the [`Frontend`] trait, health checks, and the margin for sending a
+//! response.
 
 use crate::protocol::health;
 use crate::transport::{LifecyclePhase, RequestContext, ResponseBody};
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, WWW_AUTHENTICATE};
 use hyper::{Request, Response};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
 
 /// Serves the requests of one listener.
 pub trait Frontend {
@@ -56,35 +53,6 @@
     }
 }
 
-/// Reasons why the body of a request cannot be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    /// The body is longer than allowed.
-    TooLong,
-    /// The connection failed before the body was complete, or the body is malformed.
-    Incomplete,
-    /// The body was not complete by the deadline.
-    TimedOut,
-}
-
-/// Reads the body of a request completely.
-///
-/// The deadline guards against clients that stop sending halfway and would occupy their connection
-/// indefinitely.
-///
-/// # Errors
-///
-/// Returns an error if the body is longer than `max_len` bytes, incomplete or malformed, or if it is not
-/// complete by the deadline.
-pub async fn read_body(body: Incoming, max_len: usize, deadline: Instant) -> Result<Bytes, BodyError> {
-    match timeout_at(deadline, Limited::new(body, max_len).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) => Err(BodyError::Incomplete),
-        Err(_) => Err(BodyError::TimedOut),
-    }
-}
-
 /// Adds the `WWW-Authenticate` header that asks for a bearer token. HTTP requires this header in every
 /// response with status 401.
 pub fn add_bearer_challenge(headers: &mut HeaderMap) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 //! | --- | --- | --- | --- |
 //! | startup | `config`, `startup`, `error`, `log` | | |
 //! | lifecycle | `signals`, `shutdown`, `reload` | | |
-//! | front ends | `frontend` | `platform_frontend` | `object_frontend`, `admin_frontend` |
+//! | front ends | `frontend`, `body_reader` | `platform_frontend` | `object_frontend`, `admin_frontend` |
 //! | object API | | | `tenants`, `object_limits`, `hashing` |
 //! | storage nodes | `node_registry`, `node_transport`, `descriptors` | `discovery` | `inventory` |
 //! | metrics | `metrics` | | |
@@ -18,6 +18,7 @@
 //! `hashing` is used for object placement, idempotency keys, and ids of volumes, blocks and requests.
 
 mod admin_frontend;
+mod body_reader;
 mod config;
 mod descriptors;
 mod discovery;
--- a/src/gateway/object_frontend/body.rs
+++ b/src/gateway/object_frontend/body.rs
@@ -1,7 +1,7 @@
 //! Reads request bodies, and limits the memory for request bodies and for buffered responses.
 
 use super::{ObjectFrontend, Rejection};
-use crate::gateway::frontend::{BodyError, read_body};
+use crate::gateway::body_reader::{BodyError, collect_body};
 use crate::gateway::object_limits::{BYTES_PER_MEMORY_PERMIT, ObjectLimits};
 use crate::protocol::object::{ApiError, ObjectRequest, Operation};
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::Instant;
+use tokio::time::timeout;
 
 /// Maximum duration for reading the body of a request.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(60);
@@ -76,9 +76,8 @@
     ) -> Result<Bytes, Rejection> {
         let length = if request.operation.has_body() { request.length.unwrap_or(0) } else { 0 };
         let max_len = usize::try_from(length).unwrap_or(usize::MAX);
-        read_body(body, max_len, Instant::now() + BODY_READ_TIMEOUT)
-            .await
-            .map_err(|cause| self.bad_request(body_error(cause)))
+        let reading = timeout(BODY_READ_TIMEOUT, collect_body(body, max_len));
+        reading.await.unwrap_or(Err(BodyError::TimedOut)).map_err(|cause| self.bad_request(body_error(cause)))
     }
 }
 
@@ -97,7 +96,8 @@
 
 fn body_error(cause: BodyError) -> ApiError {
     match cause {
-        BodyError::TooLong | BodyError::Incomplete => {
+        // The memory of this API is reserved before a body is read, so that it cannot run out here.
+        BodyError::TooLong | BodyError::Incomplete | BodyError::OutOfMemory => {
             let message = "The body is not as long as was said.";
             ApiError::new(StatusCode::BAD_REQUEST, "IncompleteBody", message)
         }
--- a/src/gateway/platform_frontend/mod.rs
+++ b/src/gateway/platform_frontend/mod.rs
@@ -1,16 +1,21 @@
 //! Front end for the platform's protocol: decodes clients' requests, submits them to the router and responds.
 
 mod request_ids;
+mod request_memory;
 mod response;
 mod transport;
 
 pub use request_ids::RequestIds;
-pub use transport::PlatformTransport;
+pub use request_memory::RequestMemory;
+pub use transport::{PlatformPayload, PlatformTransport};
 
-use super::frontend::{Frontend, HealthStatus, RESPONSE_MARGIN_US, read_body};
+use super::body_reader::{BodyError, read_body};
+use super::frontend::{Frontend, HealthStatus, RESPONSE_MARGIN_US};
 use super::metrics::GatewayMetrics;
 use super::shutdown::ShutdownSchedule;
-use crate::protocol::client_request::{self, ForwardedRequest, NameTable, ParsedRequest, RequestError};
+use crate::protocol::client_request::{
+    self, ForwardedHead, ForwardedRequest, NameTable, ParsedRequest, RequestError,
+};
 use crate::protocol::common_headers::REQUEST_ID;
 use crate::routing::{Clock, RouterHandle};
 use crate::scheduler::IncomingRequest;
@@ -24,7 +29,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Maximum duration for receiving a request, from its first byte to its last. According to "A Fixed Test for
 /// All Future Versions of the Gateway", a client that stops sending halfway must receive an error within 3 s.
@@ -37,7 +42,7 @@
 /// Front end for the platform's protocol.
 pub struct PlatformFrontend {
     /// Handle to the router, to which requests are submitted.
-    pub router: RouterHandle<ForwardedRequest, Bytes>,
+    pub router: RouterHandle<PlatformPayload, Bytes>,
     /// The router's clock; request expiry times refer to it.
     pub clock: Clock,
     /// Maps the class and plan names in requests to their indices in the scheduler's settings.
@@ -53,6 +58,8 @@
     pub shutdown: Rc<ShutdownSchedule>,
     /// Ids of the requests in progress and of recent requests, which must not be used again.
     pub request_ids: RequestIds,
+    /// Limits the memory of all requests together.
+    pub memory: RequestMemory,
 }
 
 impl Frontend for PlatformFrontend {
@@ -79,11 +86,34 @@
             .map_err(Rejection::Malformed)?;
         let mut id_guard = self.register_id(&head)?;
         check_stated_body_len(&body)?;
+        let forwarded_head = ForwardedHead::copy_of(&head);
+        drop(head);
         let read_deadline = context.started_at + REQUEST_READ_TIMEOUT;
-        let body = read_body(body, client_request::MAX_BODY_LEN, read_deadline).await?;
+        let payload = self.receive_payload(forwarded_head, body, read_deadline).await?;
         let incoming = self.incoming_request(&parsed);
         id_guard.mark_used();
-        Ok(self.router.submit(incoming, ForwardedRequest { head, body }).await.into())
+        Ok(self.router.submit(incoming, payload).await.into())
+    }
+
+    /// Reads the body of a request, as far as the memory for requests allows.
+    async fn receive_payload(
+        &self,
+        head: ForwardedHead,
+        body: Incoming,
+        deadline: Instant,
+    ) -> Result<PlatformPayload, BodyError> {
+        let mut buffer = self.memory.start_body(head.text_len(), client_request::MAX_BODY_LEN)?;
+        let evicted = buffer.evicted();
+        let append = |data: &[u8]| Ok(buffer.append(data)?);
+        tokio::select! {
+            biased;
+            read = read_body(body, client_request::MAX_BODY_LEN, append) => read?,
+            () = evicted => return Err(BodyError::OutOfMemory),
+            // Guards against clients that stop sending halfway and would occupy their connection.
+            () = sleep_until(deadline) => return Err(BodyError::TimedOut),
+        }
+        let (body, reservation) = buffer.finish()?;
+        Ok(PlatformPayload::new(ForwardedRequest { head, body }, reservation))
     }
 
     /// Registers the request's id, which [`client_request::decode`] has checked.
--- a/src/gateway/platform_frontend/response.rs
+++ b/src/gateway/platform_frontend/response.rs
@@ -1,7 +1,8 @@
 //! Responses to clients, and the reasons for which a request is rejected.
 
 use super::request_ids::DuplicateId;
-use crate::gateway::frontend::{BodyError, HealthStatus};
+use crate::gateway::body_reader::BodyError;
+use crate::gateway::frontend::HealthStatus;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::protocol::client_request::RequestError;
 use crate::routing::FinalAnswer;
@@ -52,6 +53,8 @@
 pub(super) enum Rejection {
     /// Too many connections are open.
     Overloaded,
+    /// Too much memory is in use for requests.
+    OutOfMemory,
     /// The head of the request is malformed, or the class or the plan is unknown.
     Malformed(RequestError),
     /// The id of the request has been used by another request.
@@ -67,6 +70,7 @@
         match error {
             BodyError::TooLong => Rejection::BodyTooLarge,
             BodyError::Incomplete | BodyError::TimedOut => Rejection::BodyIncomplete,
+            BodyError::OutOfMemory => Rejection::OutOfMemory,
         }
     }
 }
@@ -78,7 +82,7 @@
             metrics.duplicate_ids.increment();
         }
         let counter = match self {
-            Rejection::Overloaded => &metrics.overload,
+            Rejection::Overloaded | Rejection::OutOfMemory => &metrics.overload,
             Rejection::BodyTooLarge => &metrics.bodies_too_large,
             Rejection::Malformed(_) | Rejection::DuplicateId(_) | Rejection::BodyIncomplete => {
                 &metrics.bad_requests
@@ -88,12 +92,15 @@
     }
 
     /// Returns the response to the client. `overload_retry_after_us` is its `Retry-After` if too many
-    /// connections are open, in microseconds; `None` to send no `Retry-After`.
+    /// connections are open or too much memory is in use, in microseconds; `None` to send no `Retry-After`.
     pub fn into_response(self, overload_retry_after_us: Option<u64>) -> PlatformResponse {
         match self {
             Rejection::Overloaded => {
                 PlatformResponse::unavailable("too many connections\n", overload_retry_after_us)
             }
+            Rejection::OutOfMemory => {
+                PlatformResponse::unavailable("too many long requests\n", overload_retry_after_us)
+            }
             Rejection::Malformed(cause) => malformed(cause),
             Rejection::DuplicateId(cause) => duplicate_id(cause),
             Rejection::BodyTooLarge => {
--- a/src/gateway/platform_frontend/transport.rs
+++ b/src/gateway/platform_frontend/transport.rs
@@ -1,5 +1,6 @@
 //! Sends the router's attempts to the storage nodes of the platform.
 
+use super::request_memory::Reservation;
 use crate::gateway::node_registry::NodeRegistry;
 use crate::gateway::node_transport::{AttemptPayload, ResponsePolicy, start_attempt};
 use crate::protocol::client_request::{self, ForwardedRequest};
@@ -15,11 +16,23 @@
 /// nodes write a complete response at once. The platform's pages do not state this duration.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(100);
 
-impl AttemptPayload for ForwardedRequest {
+/// A client's request, and the reservation of its memory.
+pub struct PlatformPayload {
+    request: ForwardedRequest,
+    _reservation: Reservation,
+}
+
+impl PlatformPayload {
+    pub(super) fn new(request: ForwardedRequest, reservation: Reservation) -> Self {
+        PlatformPayload { request, _reservation: reservation }
+    }
+}
+
+impl AttemptPayload for PlatformPayload {
     type Response = Bytes;
 
     fn encode(&self, time_left: Duration) -> Request<Full<Bytes>> {
-        client_request::encode(self, time_left)
+        client_request::encode(&self.request, time_left)
     }
 
     fn accepts_response(&self, status: StatusCode, _: &HeaderMap) -> bool {
@@ -34,15 +47,15 @@
 /// Sends the router's attempts to the storage nodes.
 pub struct PlatformTransport {
     /// Handle to the router, to which the ends of attempts are reported.
-    pub router: RouterHandle<ForwardedRequest, Bytes>,
+    pub router: RouterHandle<PlatformPayload, Bytes>,
     /// The storage nodes and their connection pools.
     pub nodes: NodeRegistry,
     /// Sender of watch commands to the [`EndpointWatcher`](crate::gateway::discovery::EndpointWatcher).
     pub watch_commands: mpsc::UnboundedSender<()>,
 }
 
-impl AttemptTransport<ForwardedRequest> for PlatformTransport {
-    fn start(&mut self, attempt: Attempt<ForwardedRequest>) {
+impl AttemptTransport<PlatformPayload> for PlatformTransport {
+    fn start(&mut self, attempt: Attempt<PlatformPayload>) {
         let policy = ResponsePolicy {
             stall_timeout: RESPONSE_STALL_TIMEOUT,
             max_body_len: client_request::MAX_BODY_LEN,
--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -6,7 +6,7 @@
 use crate::gateway::discovery::{EndpointWatcher, watch_wait};
 use crate::gateway::error::RunError;
 use crate::gateway::node_registry::NodeRegistry;
-use crate::gateway::platform_frontend::{PlatformFrontend, PlatformTransport, RequestIds};
+use crate::gateway::platform_frontend::{PlatformFrontend, PlatformTransport, RequestIds, RequestMemory};
 use crate::gateway::reload::reload_discovery_address;
 use crate::gateway::signals::hangup_signal;
 use crate::routing::RequestRouter;
@@ -18,6 +18,8 @@
 
 /// Minimum connect timeout, which applies if the settings specify none or a very short one.
 const MIN_CONNECT_TIMEOUT_US: u64 = 1_000;
+/// The part of the gateway's memory that the requests of all clients may reserve is 1 divided by this number.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
 
 /// Starts the gateway's actors, then its server.
 ///
@@ -59,6 +61,7 @@
         overload_retry_after_us,
         shutdown,
         request_ids: RequestIds::new(),
+        memory: RequestMemory::new(config.memory / REQUEST_MEMORY_DIVISOR),
     });
     let listener = listen(config.listen).await?;
     let server = spawn_server(listener, clients, phase, frontend);
--- a/src/protocol/client_request.rs
+++ b/src/protocol/client_request.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::time::Duration;
 
 /// Maximum size of a request or response body that the platform allows, in bytes.
@@ -222,11 +222,48 @@
     text.parse::<f64>().ok().filter(|number| number.is_finite())
 }
 
+/// The parts of a request's head that are forwarded to storage nodes.
+///
+/// The parts are copied. Those of the client's head would keep the whole buffer of its connection in memory,
+/// and all its other headers.
+#[derive(Clone, Debug)]
+pub struct ForwardedHead {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+}
+
+impl ForwardedHead {
+    /// Copies the method, the URI and the forwarded headers.
+    pub fn copy_of(head: &Parts) -> Self {
+        let uri = Uri::from_maybe_shared(Bytes::from(head.uri.to_string()));
+        let mut headers = HeaderMap::with_capacity(FORWARDED_HEADERS.len());
+        for name in FORWARDED_HEADERS {
+            if let Some(value) = head.headers.get(name) {
+                headers.insert(name, copy_of_value(value));
+            }
+        }
+        // A URI that has been parsed can be parsed again.
+        ForwardedHead { method: head.method.clone(), uri: uri.unwrap_or_else(|_| head.uri.clone()), headers }
+    }
+
+    /// Returns the length of the copied texts, in bytes.
+    pub fn text_len(&self) -> usize {
+        let path_len = self.uri.path_and_query().map_or(0, |path| path.as_str().len());
+        let authority_len = self.uri.authority().map_or(0, |authority| authority.as_str().len());
+        path_len + authority_len + self.headers.values().map(HeaderValue::len).sum::<usize>()
+    }
+}
+
+fn copy_of_value(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 /// A client's request, stored for forwarding to storage nodes. Each attempt encodes it anew.
 #[derive(Clone, Debug)]
 pub struct ForwardedRequest {
-    /// The head as the client sent it.
-    pub head: Parts,
+    /// The parts of the client's head that are forwarded.
+    pub head: ForwardedHead,
     /// The complete body, with any transfer coding removed; at most [`MAX_BODY_LEN`] bytes.
     pub body: Bytes,
 }
@@ -242,11 +279,7 @@
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = head.uri.clone();
     let headers = request.headers_mut();
-    for name in FORWARDED_HEADERS {
-        if let Some(value) = head.headers.get(name) {
-            headers.insert(name, value.clone());
-        }
-    }
+    headers.clone_from(&head.headers);
     if !headers.contains_key(HOST) {
         headers.insert(HOST, DEFAULT_HOST);
     }
--- a/tests/exchange_player/gateway_process.rs
+++ b/tests/exchange_player/gateway_process.rs
@@ -1,5 +1,8 @@
 //! Runs the gateway under test as a child process.
 
+// Each test file uses a part of these functions.
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader, Read};
 use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -39,6 +42,11 @@
         gateway
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn client_address(&self) -> &str {
         &self.addresses[0]
     }
