Evict stalled request heads while new connections wait to be accepted

Cause: a connection with an incomplete head could be evicted only after 1 s, so that each filling of the free connections kept the accept queue waiting for a second, however many clients were in it.

Change: if no silent or idle connection is left to evict, heads that have stalled for 50 ms, or that began 250 ms ago, are evicted, the one whose last byte is the oldest first. An evicted connection is kept if its socket has unread bytes, which the runtime may not have reported yet.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -166,7 +166,14 @@
                         Pin::new(&mut connection).graceful_shutdown();
                     }
                 }
-                () = self.slot.must_close() => return ConnectionEnd::Aborted,
+                () = self.slot.must_close() => {
+                    // Bytes of a request may have arrived that the runtime has not reported yet, in
+                    // particular if the process was held up.
+                    let keep = self.read_ahead.has_unread_bytes() && self.slot.revoke_eviction();
+                    if !keep {
+                        return ConnectionEnd::Aborted;
+                    }
+                }
             }
         }
     }
--- a/src/transport/client_stream.rs
+++ b/src/transport/client_stream.rs
@@ -4,9 +4,11 @@
 use super::request_framing::RequestFraming;
 use super::socket::SharedSocket;
 use bytes::BytesMut;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -44,6 +46,12 @@
         &self.stream
     }
 
+    /// Returns whether the socket has received bytes that have not been read.
+    pub(super) fn has_unread_bytes(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_ok_and(|length| length > 0)
+    }
+
     /// Returns whether the chunked request on this connection also has a `Content-Length`.
     pub(super) fn conflicting_length(&self) -> bool {
         self.framing.borrow().conflicting_length()
--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -39,11 +39,18 @@
 pub(super) struct SlotStatus {
     pub(super) state: ConnectionState,
     pub(super) since: Instant,
+    /// The time at which bytes were last received while no request was in progress, or at which the state
+    /// began if that is later.
+    pub(super) last_progress_at: Instant,
 }
 
 impl SlotStatus {
     fn starting_now(state: ConnectionState) -> Self {
-        SlotStatus { state, since: Instant::now() }
+        SlotStatus::starting_at(state, Instant::now())
+    }
+
+    fn starting_at(state: ConnectionState, since: Instant) -> Self {
+        SlotStatus { state, since, last_progress_at: since }
     }
 
     /// Returns whether the connection has been in `state` for at least `duration` at the time `now`.
@@ -60,6 +67,9 @@
     status: Mutex<SlotStatus>,
     /// Whether the connection has been admitted, so that all its further requests are served as well.
     admitted: AtomicBool,
+    /// Whether the connection has been evicted. Its state is then [`ConnectionState::Evicted`], until it
+    /// enters another state or the eviction is revoked.
+    evicted: AtomicBool,
     /// Whether the bytes received so far end within the head of a request.
     has_partial_head: AtomicBool,
     /// Notified when the connection may have to be closed earlier than its previous state required.
@@ -81,6 +91,7 @@
             id,
             status: Mutex::new(SlotStatus::starting_now(ConnectionState::AwaitingFirstByte)),
             admitted: AtomicBool::new(false),
+            evicted: AtomicBool::new(false),
             has_partial_head: AtomicBool::new(false),
             changed: Notify::new(),
         }
@@ -103,7 +114,12 @@
 
     /// Returns the connection's state and when it began.
     pub(super) fn status(&self) -> SlotStatus {
-        *self.lock_status()
+        let status = *self.lock_status();
+        if self.evicted.load(Ordering::Relaxed) {
+            SlotStatus { state: ConnectionState::Evicted, ..status }
+        } else {
+            status
+        }
     }
 
     fn lock_status(&self) -> MutexGuard<'_, SlotStatus> {
@@ -117,23 +133,25 @@
 
     fn set_state(&self, state: ConnectionState) {
         *self.lock_status() = SlotStatus::starting_now(state);
+        self.evicted.store(false, Ordering::Relaxed);
     }
 
     /// Records that bytes have been received from the client. `has_partial_head` states whether the bytes
     /// received so far end within the head of a request.
     pub(super) fn record_received_bytes(&self, has_partial_head: bool) {
         self.has_partial_head.store(has_partial_head, Ordering::Relaxed);
-        let SlotStatus { state, since } = self.status();
+        let SlotStatus { state, since, .. } = self.status();
         let now = Instant::now();
         match state {
             ConnectionState::AwaitingFirstByte => self.start_head(now.min(since + MAX_INITIAL_SILENCE)),
             ConnectionState::Idle => self.start_head(now),
-            _ => {}
+            ConnectionState::ReadingHead => self.lock_status().last_progress_at = now,
+            ConnectionState::ServingRequest | ConnectionState::Lingering | ConnectionState::Evicted => {}
         }
     }
 
     fn start_head(&self, since: Instant) {
-        *self.lock_status() = SlotStatus { state: ConnectionState::ReadingHead, since };
+        *self.lock_status() = SlotStatus::starting_at(ConnectionState::ReadingHead, since);
         self.changed.notify_one();
     }
 
@@ -176,10 +194,16 @@
     /// Causes [`must_close`](Self::must_close) and [`evicted`](Self::evicted) to resolve, unless a request is
     /// in progress by then.
     pub(super) fn evict(&self) {
-        self.set_state(ConnectionState::Evicted);
+        self.evicted.store(true, Ordering::Relaxed);
         self.changed.notify_one();
     }
 
+    /// Returns the connection to the state that it had before it was evicted. Returns whether it had been
+    /// evicted.
+    pub(super) fn revoke_eviction(&self) -> bool {
+        self.evicted.swap(false, Ordering::Relaxed)
+    }
+
     /// Resolves once the connection has been evicted.
     pub(super) async fn evicted(&self) {
         while self.state() != ConnectionState::Evicted {
@@ -191,7 +215,7 @@
     /// been evicted.
     pub(super) async fn must_close(&self) {
         loop {
-            let SlotStatus { state, since } = self.status();
+            let SlotStatus { state, since, .. } = self.status();
             let deadline = match state {
                 ConnectionState::AwaitingFirstByte | ConnectionState::ReadingHead => since + HEAD_TIMEOUT,
                 ConnectionState::Idle => since + IDLE_TIMEOUT,
--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -11,6 +11,12 @@
 /// Duration from the first byte of a request head after which the connection can be evicted if the head is
 /// still incomplete.
 const MIN_HEAD_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(1);
+/// Duration without a further byte after which a connection with an incomplete head can be evicted even
+/// earlier, if the connections that can be evicted otherwise do not suffice.
+const MIN_HEAD_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(50);
+/// Like [`MIN_HEAD_STALL_BEFORE_EVICTION`], but measured from the first byte of the head, for clients that keep
+/// sending parts of it.
+const MIN_SLOW_HEAD_TIME_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 /// Duration after which an idle connection can be evicted.
 const MIN_IDLE_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(2);
 /// Duration after which a lingering connection can be evicted. Until then, its client can still read the last
@@ -104,7 +110,8 @@
     /// at least [`MIN_SILENCE_BEFORE_EVICTION`] ago and has not received a byte, and every connection whose
     /// request head has been incomplete for at least [`MIN_HEAD_TIME_BEFORE_EVICTION`]. If the serving limit
     /// still does not allow one more connection, evicts the longest idle connections until it does, except
-    /// those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`].
+    /// those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`]. As long as this does not
+    /// suffice, it evicts connections whose head has stalled, see [`Self::evict_stalled_heads`].
     pub(super) fn evict_stale(&self) {
         if !self.is_limit_reached() {
             return;
@@ -121,23 +128,65 @@
                     || status.has_been(ConnectionState::ReadingHead, MIN_HEAD_TIME_BEFORE_EVICTION, now)
             });
             self.evict_longest_idle(now);
+            self.evict_stalled_heads(now);
         }
     }
 
-    fn evict_where(&self, is_evictable: impl Fn(SlotStatus) -> bool) {
-        let slots = self.slots.borrow();
-        slots.iter().filter(|slot| is_evictable(slot.status())).for_each(|slot| slot.evict());
+    /// Evicts connections with an incomplete head that has stalled for at least
+    /// [`MIN_HEAD_STALL_BEFORE_EVICTION`], or that began at least [`MIN_SLOW_HEAD_TIME_BEFORE_EVICTION`] ago.
+    /// Those whose last byte is the oldest are evicted first: as many as the serving limit requires, or, if no
+    /// more connections can be accepted, as many as may be rejected at the same time.
+    ///
+    /// Otherwise, connections in the accept queue would wait for as long as each filling of the table with
+    /// incomplete heads lasts.
+    fn evict_stalled_heads(&self, now: Instant) {
+        let full = self.is_full_after_evictions();
+        let needed = if full { self.limits.max_rejected.max(1) } else { 0 };
+        self.evict_longest(
+            needed.max(self.excess_of_serving_limit()),
+            |status| {
+                let stalled_for = now.saturating_duration_since(status.last_progress_at);
+                let slow_head = MIN_SLOW_HEAD_TIME_BEFORE_EVICTION;
+                status.state == ConnectionState::ReadingHead
+                    && (stalled_for >= MIN_HEAD_STALL_BEFORE_EVICTION
+                        || status.has_been(ConnectionState::ReadingHead, slow_head, now))
+            },
+            |status| status.last_progress_at,
+        );
     }
 
     fn evict_longest_idle(&self, now: Instant) {
-        let excess = (self.serving_count() + 1).saturating_sub(self.limits.max_served);
-        if excess == 0 {
+        self.evict_longest(
+            self.excess_of_serving_limit(),
+            |status| status.has_been(ConnectionState::Idle, MIN_IDLE_TIME_BEFORE_EVICTION, now),
+            |status| status.since,
+        );
+    }
+
+    /// Returns how many connections must be evicted so that the serving limit allows one more.
+    fn excess_of_serving_limit(&self) -> usize {
+        (self.serving_count() + 1).saturating_sub(self.limits.max_served)
+    }
+
+    /// Evicts at most `count` of the connections that are evictable, those with the earliest time first.
+    fn evict_longest(
+        &self,
+        count: usize,
+        is_evictable: impl Fn(&SlotStatus) -> bool,
+        time: impl Fn(&SlotStatus) -> Instant,
+    ) {
+        if count == 0 {
             return;
         }
         let slots = self.slots.borrow();
-        let mut idle: Vec<_> = slots.iter().map(|slot| (slot.status(), slot)).collect();
-        idle.retain(|(status, _)| status.has_been(ConnectionState::Idle, MIN_IDLE_TIME_BEFORE_EVICTION, now));
-        idle.sort_by_key(|(status, _)| status.since);
-        idle.into_iter().take(excess).for_each(|(_, slot)| slot.evict());
+        let mut evictable: Vec<_> = slots.iter().map(|slot| (slot.status(), slot)).collect();
+        evictable.retain(|(status, _)| is_evictable(status));
+        evictable.sort_by_key(|(status, _)| time(status));
+        evictable.into_iter().take(count).for_each(|(_, slot)| slot.evict());
+    }
+
+    fn evict_where(&self, is_evictable: impl Fn(SlotStatus) -> bool) {
+        let slots = self.slots.borrow();
+        slots.iter().filter(|slot| is_evictable(slot.status())).for_each(|slot| slot.evict());
     }
 }
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -139,6 +139,55 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Sends a part of a head, and goes on with a byte of a header in each interval, if there is one.
+fn send_partial_head(mut client: TcpStream, byte_interval: Option<Duration>) {
+    spawn_local(async move {
+        let mut sent = client.write_all(PARTIAL_HEAD).await;
+        while sent.is_ok() {
+            sleep(byte_interval.unwrap_or(WRITE_TIMEOUT)).await;
+            sent = client.write_all(b"x").await;
+        }
+    });
+}
+
+/// Each filling of the table with incomplete heads occupied it for a second, while requests on new connections
+/// waited to be accepted.
+#[tokio::test]
+async fn incomplete_heads_do_not_keep_new_clients_waiting() {
+    let test = async {
+        for byte_interval in [None, Some(HEAD_INTERVAL)] {
+            let server = Server::start().await;
+            for _ in 0..4 * MAX_OPEN {
+                send_partial_head(server.connect().await, byte_interval);
+            }
+            let response = timeout(ANSWER_TIMEOUT, send_request(&server)).await;
+            let response = response.unwrap_or_else(|_| panic!("no answer beside heads of {byte_interval:?}"));
+            assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A usual client whose head arrives in pieces is not evicted for those that have stopped within theirs.
+#[tokio::test]
+async fn a_head_that_arrives_in_pieces_is_served_beside_stalled_heads() {
+    let test = async {
+        let server = Server::start().await;
+        for _ in 0..LIMITS.max_served - 1 {
+            send_partial_head(server.connect().await, None);
+        }
+        sleep(10 * HEAD_INTERVAL).await;
+        let mut client = server.connect().await;
+        for piece in REQUEST.chunks(4) {
+            client.write_all(piece).await.unwrap();
+            send_partial_head(server.connect().await, None);
+            sleep(HEAD_INTERVAL).await;
+        }
+        exchange(client, b"").await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Sends the bytes, reads one response, and returns the connection.
 async fn exchange(mut client: TcpStream, bytes: &[u8]) -> TcpStream {
     client.write_all(bytes).await.unwrap();
