Repeat a failed poll before what it missed counts as announced

Cause: a failed poll was repeated up to 4.5 s after its end. The scheduler knew neither the time that the failed poll had taken nor that changes count as told 4 s after SIGHUP already. The first watch after a reload could also wait 21.5 s for an answer.

Change: a failed poll is reported with the earliest time at which what it missed counts as announced, and the time slot of the next poll comes before the grace of draining nodes ends. Each SIGHUP starts a poll.

--- a/src/bin/scheduler-simulator-adapter/session.rs
+++ b/src/bin/scheduler-simulator-adapter/session.rs
@@ -69,7 +69,7 @@
             UpdateKind::Delta => EndpointUpdate::Delta(endpoints()?),
             UpdateKind::Snapshot => EndpointUpdate::Snapshot(endpoints()?),
             UpdateKind::Cached => EndpointUpdate::Cached(endpoints()?),
-            UpdateKind::PollFailed => EndpointUpdate::PollFailed,
+            UpdateKind::PollFailed => EndpointUpdate::PollFailed { announced_by_us: None },
         })
     }
 
--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery/mod.rs
@@ -1,46 +1,70 @@
 //! Polls the discovery service for the endpoint list and publishes the results to the router.
 
+mod announcement;
+
+use self::announcement::PollAttempt;
 use super::body_reader::collect_body;
 use super::log;
 use super::metrics::GatewayMetrics;
 use super::node_registry::NodeRegistry;
 use crate::protocol::endpoint_list::{self, EndpointList, ListKind};
-use crate::routing::RouterHandle;
+use crate::routing::{Clock, RouterHandle};
 use crate::scheduler::EndpointUpdate;
 use crate::transport::NodeConnection;
 use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 /// Longest time for which a watch waits for changes, as in the Protocol page's example.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Upper bound of the difference between the longest and the shortest watch wait. The difference approaches
 /// this bound as the number of gateways grows.
 const WATCH_WAIT_SPREAD: Duration = Duration::from_secs(8);
+/// Longest time for which the first watch after a reload waits for changes. What discovery has to tell counts
+/// as announced 4 s after SIGHUP. A watch that discovery never answers must time out before.
+const MAX_RELOAD_WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Like [`WATCH_WAIT_SPREAD`], for the first watch after a reload.
+const RELOAD_WATCH_WAIT_SPREAD: Duration = Duration::from_secs(2);
 /// Maximum duration of a poll; for a watch, in addition to its wait.
 ///
 /// The platform considers a gateway informed of a change at fixed times, whether or not the gateway received
 /// the change (Protocol page, "Figures"):
 /// - If a watch receives no response, 2 s after the end of its wait. The timeout of 1.5 s ends the watch
 ///   before that time.
-/// - In any case, 6 s after the change. The scheduler repeats a failed poll at most 4.5 s later
-///   (`MAX_POLL_RETRY_PERIOD_US` in `scheduler/endpoints.rs`), and 4.5 s + 1.5 s = 6 s.
+/// - In any case, 6 s after the change, and 4 s after SIGHUP. The scheduler repeats a failed poll in time for
+///   the next poll to return the change (`scheduler/endpoints.rs`).
 const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum length of an endpoint list, in bytes. The gateway sets this limit, not the platform. A list of
 /// 3,200 storage nodes, the maximum in "A Fixed Test for All Future Versions of the Gateway", takes 419,200
 /// bytes if its entries are as long as those of the Protocol page's example.
 const MAX_LIST_LEN: usize = 4 * 1024 * 1024;
 
-/// Returns the time for which this gateway's watches wait for changes. `gateway_index` counts from 0.
+/// The times for which a gateway's watches wait for changes.
 ///
 /// A change ends the watches of all gateways at the same time, and all gateways then open their next watches
 /// at the same time. If discovery then stops responding, different waits make these watches time out, and be
 /// reopened, one after the other instead of all at once.
-pub fn watch_wait(gateway_index: usize, gateway_count: usize) -> Duration {
-    let position = gateway_index.min(gateway_count) as f64 / gateway_count.max(1) as f64;
-    MAX_WATCH_WAIT.saturating_sub(WATCH_WAIT_SPREAD.mul_f64(position))
+#[derive(Clone, Copy, Debug)]
+pub struct WatchWaits {
+    usual: Duration,
+    after_reload: Duration,
+}
+
+impl WatchWaits {
+    /// Returns the waits of the gateway with this index, which counts from 0.
+    pub fn new(gateway_index: usize, gateway_count: usize) -> Self {
+        let position = gateway_index.min(gateway_count) as f64 / gateway_count.max(1) as f64;
+        let spread = |max: Duration, spread: Duration| max.saturating_sub(spread.mul_f64(position));
+        WatchWaits {
+            usual: spread(MAX_WATCH_WAIT, WATCH_WAIT_SPREAD),
+            after_reload: spread(MAX_RELOAD_WATCH_WAIT, RELOAD_WATCH_WAIT_SPREAD),
+        }
+    }
 }
 
 /// Reasons why a poll returned no endpoint list.
@@ -64,6 +88,15 @@
     UnusableResponse,
 }
 
+/// Where discovery is, according to the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct DiscoveryTarget {
+    /// The address of discovery.
+    pub address: SocketAddr,
+    /// Time of the last reload of the configuration; `None` if there has been none.
+    pub reloaded_at: Option<Instant>,
+}
+
 /// The state of a sequence of polls. The sequence ends when a poll fails or when two consecutive watches
 /// time out.
 #[derive(Default)]
@@ -74,15 +107,24 @@
     last_watch_timed_out: bool,
 }
 
+/// What the gateway has received from discovery so far.
+#[derive(Default)]
+struct ReceivedList {
+    /// The version of the last list; `None` if there is none.
+    version: Option<u64>,
+    /// When the last list was received; `None` if discovery has sent none since the start of the gateway.
+    received_at: Option<Instant>,
+}
+
 /// The actor that polls discovery and forwards endpoint lists to the node registry and the router.
 ///
 /// A poll requests endpoints from discovery once: a watch waits for changes, and any other poll requests the
 /// complete list.
 pub struct EndpointWatcher<P, R> {
-    /// The address of discovery, which a reload of the configuration may change.
-    pub discovery_address: watch::Receiver<SocketAddr>,
-    /// Time for which a watch waits for changes, from [`watch_wait`].
-    pub watch_wait: Duration,
+    /// Where discovery is, which a reload of the configuration may change.
+    pub discovery: watch::Receiver<DiscoveryTarget>,
+    /// Times for which watches wait for changes.
+    pub watch_waits: WatchWaits,
     /// The endpoint list known before the gateway started, which discovery has not confirmed. `None` if there
     /// is none; an empty list is then published.
     pub cached_list: Option<EndpointList>,
@@ -90,32 +132,41 @@
     pub nodes: NodeRegistry,
     /// Handle to the router, to which endpoint lists and failed polls are reported.
     pub router: RouterHandle<P, R>,
+    /// The router's clock, to which the times of failed polls refer.
+    pub clock: Clock,
     /// Counts polls, failed polls, malformed lists and list entries.
     pub metrics: Rc<GatewayMetrics>,
 }
 
 impl<P, R> EndpointWatcher<P, R> {
-    /// Publishes the cached list, then polls discovery whenever the router sends a watch command or
-    /// discovery's address changes. Polls repeatedly until a poll fails or two consecutive watches time out,
+    /// Publishes the cached list, then polls discovery whenever the router sends a watch command or the
+    /// configuration is reloaded. Polls repeatedly until a poll fails or two consecutive watches time out,
     /// and then waits for the next command: the scheduler decides when to poll again.
     ///
     /// Returns when `watch_commands` is closed.
     pub async fn run(self, mut watch_commands: mpsc::UnboundedReceiver<()>) {
-        let mut version = self.publish_cached_list();
-        let mut address_changes = self.discovery_address.clone();
+        let mut received = ReceivedList { version: self.publish_cached_list(), received_at: None };
+        let mut reloads = self.discovery.clone();
         loop {
             tokio::select! {
                 command = watch_commands.recv() => if command.is_none() { return },
-                Ok(()) = address_changes.changed() => {}
+                Ok(()) = reloads.changed() => {}
             }
-            self.watch_until_failure(&mut version, &mut address_changes).await;
+            let failed = self.watch_until_failure(&mut received, &mut reloads).await;
             // Discards commands from the router that arrived while polling. Each would start another poll at
             // once, which would violate the platform's rule on the pause between polls.
             while watch_commands.try_recv().is_ok() {}
-            self.router.endpoints_updated(EndpointUpdate::PollFailed);
+            self.report_failure(failed);
         }
     }
 
+    /// Reports a poll that has just failed to the scheduler.
+    fn report_failure(&self, failed: PollAttempt) {
+        let announced_at = failed.missed_changes_announced_at(Instant::now());
+        let announced_by_us = Some(self.clock.us_at(announced_at));
+        self.router.endpoints_updated(EndpointUpdate::PollFailed { announced_by_us });
+    }
+
     /// Publishes the cached list, or an empty list if there is none. Returns the version of the cached list.
     fn publish_cached_list(&self) -> Option<u64> {
         let endpoints = self.cached_list.as_ref().map_or(&[][..], |list| &list.endpoints);
@@ -124,7 +175,7 @@
         self.cached_list.as_ref().map(|list| list.version)
     }
 
-    /// Polls discovery until a poll fails or two consecutive watches time out.
+    /// Polls discovery until a poll fails or two consecutive watches time out. Returns the last poll.
     ///
     /// A watch that times out may have missed changes. The platform soon considers the gateway informed of
     /// these changes, so the watch is reopened at once after the first timeout. The platform may already
@@ -134,14 +185,18 @@
     /// because discovery may never respond at the old address.
     async fn watch_until_failure(
         &self,
-        version: &mut Option<u64>,
-        address_changes: &mut watch::Receiver<SocketAddr>,
-    ) {
+        received: &mut ReceivedList,
+        reloads: &mut watch::Receiver<DiscoveryTarget>,
+    ) -> PollAttempt {
         let mut session = WatchSession::default();
         loop {
+            let target = *reloads.borrow_and_update();
+            let attempt = self.next_attempt(target, received);
             let polled = tokio::select! {
-                polled = self.poll(&mut session.idle_connection, *version) => polled,
-                Ok(()) = address_changes.changed() => {
+                polled = self.poll(&mut session.idle_connection, target.address, received.version, attempt) => {
+                    polled
+                }
+                Ok(_) = reloads.wait_for(|reloaded| reloaded.address != target.address) => {
                     session.idle_connection = None;
                     continue;
                 }
@@ -149,18 +204,32 @@
             match polled {
                 Ok(list) => {
                     session.last_watch_timed_out = false;
-                    *version = Some(list.version);
+                    received.version = Some(list.version);
+                    received.received_at = Some(Instant::now());
                     self.publish(&list);
                 }
                 Err(PollError::WatchTimedOut) if !session.last_watch_timed_out => {
                     session.last_watch_timed_out = true;
-                    self.router.endpoints_updated(EndpointUpdate::PollFailed);
+                    self.report_failure(attempt);
                 }
-                Err(_) => return,
+                Err(_) => return attempt,
             }
         }
     }
 
+    /// Returns the poll that starts now. It is a watch if a list has been received; the first watch after a
+    /// reload is short.
+    fn next_attempt(&self, target: DiscoveryTarget, received: &ReceivedList) -> PollAttempt {
+        let pending_reload_at =
+            target.reloaded_at.filter(|reloaded_at| received.received_at < Some(*reloaded_at));
+        let wait = match pending_reload_at {
+            Some(_) => self.watch_waits.after_reload,
+            None => self.watch_waits.usual,
+        };
+        let wait = received.version.map(|_| wait);
+        PollAttempt { started_at: Instant::now(), wait, pending_reload_at }
+    }
+
     fn publish(&self, list: &EndpointList) {
         let endpoints = self.nodes.apply(list.kind, &list.endpoints);
         self.router.endpoints_updated(match list.kind {
@@ -174,11 +243,14 @@
     async fn poll(
         &self,
         idle_connection: &mut Option<NodeConnection>,
+        address: SocketAddr,
         version: Option<u64>,
+        attempt: PollAttempt,
     ) -> Result<EndpointList, PollError> {
         self.metrics.list_calls.increment();
-        let timeout = if version.is_some() { self.watch_wait + POLL_TIMEOUT } else { POLL_TIMEOUT };
-        match tokio::time::timeout(timeout, self.fetch_list(idle_connection, version)).await {
+        let timeout = attempt.wait.unwrap_or_default() + POLL_TIMEOUT;
+        let request = || endpoint_list::list_request(address, version, attempt.wait.unwrap_or_default());
+        match tokio::time::timeout(timeout, fetch_list(idle_connection, address, request)).await {
             Ok(Ok(body)) => self.decode_list(&body),
             Ok(Err(FetchError::ConnectionFailed | FetchError::UnusableResponse)) => {
                 self.metrics.list_failures.increment();
@@ -186,8 +258,7 @@
             }
             Err(_) => {
                 self.metrics.list_failures.increment();
-                let is_watch = version.is_some();
-                Err(if is_watch { PollError::WatchTimedOut } else { PollError::Failed })
+                Err(if attempt.wait.is_some() { PollError::WatchTimedOut } else { PollError::Failed })
             }
         }
     }
@@ -207,46 +278,42 @@
             }
         }
     }
+}
 
-    /// Returns the body of discovery's response. Reuses `idle_connection` if possible.
-    async fn fetch_list(
-        &self,
-        idle_connection: &mut Option<NodeConnection>,
-        version: Option<u64>,
-    ) -> Result<Bytes, FetchError> {
-        let address = *self.discovery_address.borrow();
-        // The failure of a reused connection does not mean that discovery is down: discovery may have closed
-        // the connection while the request was being written. The request is repeated on a new connection.
-        if let Some(reused) = idle_connection.take().filter(NodeConnection::is_reusable) {
-            let fetched = self.request_list(reused, idle_connection, address, version).await;
-            if fetched != Err(FetchError::ConnectionFailed) {
-                return fetched;
-            }
+/// Returns the body of discovery's response. Reuses `idle_connection` if possible.
+async fn fetch_list(
+    idle_connection: &mut Option<NodeConnection>,
+    address: SocketAddr,
+    request: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<Bytes, FetchError> {
+    // The failure of a reused connection does not mean that discovery is down: discovery may have closed the
+    // connection while the request was being written. The request is repeated on a new connection.
+    if let Some(reused) = idle_connection.take().filter(NodeConnection::is_reusable) {
+        let fetched = request_list(reused, idle_connection, request()).await;
+        if fetched != Err(FetchError::ConnectionFailed) {
+            return fetched;
         }
-        // Without this timeout, connecting to an unreachable machine could take as long as a watch.
-        let connecting = tokio::time::timeout(POLL_TIMEOUT, NodeConnection::connect(address));
-        let Ok(Ok(connection)) = connecting.await else { return Err(FetchError::ConnectionFailed) };
-        self.request_list(connection, idle_connection, address, version).await
     }
+    // Without this timeout, connecting to an unreachable machine could take as long as a watch.
+    let connecting = tokio::time::timeout(POLL_TIMEOUT, NodeConnection::connect(address));
+    let Ok(Ok(connection)) = connecting.await else { return Err(FetchError::ConnectionFailed) };
+    request_list(connection, idle_connection, request()).await
+}
 
-    /// Sends one request on `connection` and returns the body of the response. Stores the connection in
-    /// `idle_connection` if a complete response with status 200 was received.
-    async fn request_list(
-        &self,
-        mut connection: NodeConnection,
-        idle_connection: &mut Option<NodeConnection>,
-        address: SocketAddr,
-        version: Option<u64>,
-    ) -> Result<Bytes, FetchError> {
-        let request = endpoint_list::list_request(address, version, self.watch_wait);
-        let response = connection.send_request(request).await.map_err(|_| FetchError::ConnectionFailed)?;
-        if response.status() != hyper::StatusCode::OK {
-            return Err(FetchError::UnusableResponse);
-        }
-        let Ok(body) = collect_body(response.into_body(), MAX_LIST_LEN).await else {
-            return Err(FetchError::UnusableResponse);
-        };
-        *idle_connection = Some(connection);
-        Ok(body)
+/// Sends one request on `connection` and returns the body of the response. Stores the connection in
+/// `idle_connection` if a complete response with status 200 was received.
+async fn request_list(
+    mut connection: NodeConnection,
+    idle_connection: &mut Option<NodeConnection>,
+    request: Request<Full<Bytes>>,
+) -> Result<Bytes, FetchError> {
+    let response = connection.send_request(request).await.map_err(|_| FetchError::ConnectionFailed)?;
+    if response.status() != hyper::StatusCode::OK {
+        return Err(FetchError::UnusableResponse);
     }
+    let Ok(body) = collect_body(response.into_body(), MAX_LIST_LEN).await else {
+        return Err(FetchError::UnusableResponse);
+    };
+    *idle_connection = Some(connection);
+    Ok(body)
 }
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -6,31 +6,30 @@
 //! restarts").
 
 use super::config::platform::PlatformConfig;
+use super::discovery::DiscoveryTarget;
 use super::inventory::InventoryCommand;
 use super::log;
 use super::metrics::GatewayMetrics;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
-/// Reads the platform's configuration file on each SIGHUP and publishes its discovery address. Changes to all
-/// other settings in the file are ignored.
+/// Reads the platform's configuration file on each SIGHUP and publishes its discovery address and the time of
+/// the signal. Changes to all other settings in the file are ignored.
 pub async fn reload_discovery_address(
     mut hangup: Signal,
-    discovery_address: watch::Sender<SocketAddr>,
+    discovery: watch::Sender<DiscoveryTarget>,
     metrics: Rc<GatewayMetrics>,
 ) {
     while hangup.recv().await.is_some() {
+        let reloaded_at = Some(Instant::now());
         match PlatformConfig::load() {
             Ok(config) => {
                 metrics.reloads.increment();
-                let new_address = config.discovery;
-                discovery_address.send_if_modified(|address| {
-                    let previous = std::mem::replace(address, new_address);
-                    previous != new_address
-                });
-                log::write(format_args!("configuration reloaded, discovery at {new_address}"));
+                let address = config.discovery;
+                discovery.send_replace(DiscoveryTarget { address, reloaded_at });
+                log::write(format_args!("configuration reloaded, discovery at {address}"));
             }
             Err(error) => {
                 metrics.reloads_failed.increment();
--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -3,7 +3,7 @@
 use super::{GatewayContext, RunningTasks, listen, spawn_server};
 use crate::gateway::config::platform::PlatformConfig;
 use crate::gateway::descriptors::{ConnectionBudget, NodeConnectionTimeouts, divide_descriptors};
-use crate::gateway::discovery::{EndpointWatcher, watch_wait};
+use crate::gateway::discovery::{DiscoveryTarget, EndpointWatcher, WatchWaits};
 use crate::gateway::error::RunError;
 use crate::gateway::node_registry::NodeRegistry;
 use crate::gateway::platform_frontend::{PlatformFrontend, PlatformTransport, RequestIds, RequestMemory};
@@ -33,24 +33,26 @@
     let ConnectionBudget { clients, nodes: pool_limits } = connection_budget(&config);
     let nodes = NodeRegistry::new(pool_limits, config.zone_names);
     let overload_retry_after_us = config.settings.max_retry_after_us;
-    let watch_wait = watch_wait(config.settings.gateway_index, config.settings.gateway_count);
+    let watch_waits = WatchWaits::new(config.settings.gateway_index, config.settings.gateway_count);
     let (router_actor, router) =
         RequestRouter::new(config.settings, config.seed, clock, metrics.requests.clone());
     let (watch_commands, watch_command_receiver) = mpsc::unbounded_channel();
-    let (address_sender, discovery_address) = watch::channel(config.discovery);
+    let (discovery_sender, discovery) =
+        watch::channel(DiscoveryTarget { address: config.discovery, reloaded_at: None });
     let watcher = EndpointWatcher {
-        discovery_address,
-        watch_wait,
+        discovery,
+        watch_waits,
         cached_list: config.cached_list,
         nodes: nodes.clone(),
         router: router.clone(),
+        clock,
         metrics: metrics.clone(),
     };
     let transport = PlatformTransport { router: router.clone(), nodes, watch_commands };
     let actors = vec![
         spawn_local(watcher.run(watch_command_receiver)),
         spawn_local(router_actor.run(transport)),
-        spawn_local(reload_discovery_address(hangup, address_sender, metrics.clone())),
+        spawn_local(reload_discovery_address(hangup, discovery_sender, metrics.clone())),
     ];
     let frontend = Rc::new(PlatformFrontend {
         router,
--- a/src/routing/clock.rs
+++ b/src/routing/clock.rs
@@ -28,6 +28,12 @@
         self.origin_unix_us + self.origin.elapsed().as_micros() as u64
     }
 
+    /// Returns the time of an instant in microseconds since the Unix epoch. For an instant before the clock's
+    /// start, returns its start.
+    pub fn us_at(&self, instant: Instant) -> u64 {
+        self.origin_unix_us + instant.saturating_duration_since(self.origin).as_micros() as u64
+    }
+
     /// Returns the instant at which the clock reaches `time_us`. For a time before the clock's start, returns
     /// its start; for a time more than one day ahead, returns the instant one day from now.
     pub fn instant_at(&self, time_us: u64) -> Instant {
--- a/src/scheduler/endpoints.rs
+++ b/src/scheduler/endpoints.rs
@@ -16,15 +16,18 @@
 const ANNOUNCEMENT_DELAY_US: u64 = 6_000_000;
 /// The time after which a poll times out in the gateway's discovery client.
 const POLL_TIMEOUT_US: u64 = 1_500_000;
-/// The maximum time from a failed poll to the next one. The next poll must be able to return a change before
-/// the platform considers the change announced.
-const MAX_POLL_RETRY_PERIOD_US: u64 = ANNOUNCEMENT_DELAY_US - POLL_TIMEOUT_US;
+/// Platform rule (draining): after a failed poll, the platform considers a change announced after this number
+/// of maximum poll intervals (Wire page, `rules.askWithinUs`), if that is earlier.
+const ANNOUNCEMENT_POLL_INTERVALS: u64 = 4;
+/// The time for which the gateway may be held up between reading its clock and sending ("A Fixed Test for All
+/// Future Versions of the Gateway").
+const MAX_HOLD_UP_US: u64 = 150_000;
 /// The maximum size of a fleet whose first polls are not spread over time. Polls after a failure are spread
 /// in small fleets, too.
 const MAX_UNSPREAD_GATEWAYS: usize = 8;
 /// The time over which polls are spread grows by the maximum poll interval divided by this number for each
 /// gateway beyond [`MAX_UNSPREAD_GATEWAYS`]. [`poll_spread_us`] limits the time to three quarters of the
-/// maximum poll interval and to [`MAX_POLL_RETRY_PERIOD_US`].
+/// maximum poll interval and to [`max_poll_retry_period_us`].
 const POLL_SPREAD_STEP_DIVISOR: u64 = 128;
 /// The minimum period of polls after a failure is the maximum poll interval divided by this number.
 const MIN_POLL_RETRY_PERIOD_DIVISOR: u64 = 32;
@@ -55,13 +58,21 @@
         self.next_poll_at_us.is_some()
     }
 
-    /// Records that a poll failed, and schedules the next one in this gateway's time slot.
-    fn record_failure(&mut self, settings: &SchedulerSettings, now_us: u64) {
-        let min_period_us = poll_spread_us(settings)
-            .max(settings.max_poll_interval_us / MIN_POLL_RETRY_PERIOD_DIVISOR)
-            .max(settings.batch_interval_us);
+    /// Records that a poll failed, and schedules the next one in this gateway's time slot. `next_poll_by_us`
+    /// is the time by which the next poll has to start to return what this one missed.
+    fn record_failure(&mut self, settings: &SchedulerSettings, now_us: u64, next_poll_by_us: Option<u64>) {
+        let shortest_period_us =
+            (settings.max_poll_interval_us / MIN_POLL_RETRY_PERIOD_DIVISOR).max(settings.batch_interval_us);
+        let min_period_us = poll_spread_us(settings).max(shortest_period_us);
         let period_us = (min_period_us << self.consecutive_failures.min(MAX_POLL_RETRY_PERIOD_DOUBLINGS))
-            .min(MAX_POLL_RETRY_PERIOD_US);
+            .min(max_poll_retry_period_us(settings));
+        // Once the time has passed, the missed changes count as announced. Of the polls that fail after that,
+        // only the first is repeated at once.
+        let remaining_us = next_poll_by_us.map(|by_us| by_us.saturating_sub(now_us));
+        let must_hurry = |remaining_us: &u64| *remaining_us > 0 || self.consecutive_failures == 0;
+        let period_us = remaining_us
+            .filter(must_hurry)
+            .map_or(period_us, |remaining_us| period_us.min(remaining_us.max(shortest_period_us)));
         self.consecutive_failures += 1;
         self.next_poll_at_us = Some(next_slot_at_us(settings, now_us + 1, period_us));
     }
@@ -72,7 +83,7 @@
 ///
 /// The time is 0 in fleets of up to [`MAX_UNSPREAD_GATEWAYS`] gateways. It grows by 1/128 of the maximum poll
 /// interval for each further gateway, up to three quarters of the maximum poll interval or
-/// [`MAX_POLL_RETRY_PERIOD_US`], whichever is shorter.
+/// [`max_poll_retry_period_us`], whichever is shorter.
 ///
 /// A single discovery service answers the polls one after another. Without the spread, a fleet whose gateways
 /// start at the same time, or detect a failure of the service at the same time, would overload it repeatedly.
@@ -81,7 +92,26 @@
     let max_spread_us = settings.max_poll_interval_us / 4 * 3;
     (settings.max_poll_interval_us / POLL_SPREAD_STEP_DIVISOR * excess_gateways)
         .min(max_spread_us)
-        .min(MAX_POLL_RETRY_PERIOD_US)
+        .min(max_poll_retry_period_us(settings))
+}
+
+/// Returns the maximum time from a failed poll to the next one, in microseconds. The next poll must be able
+/// to return a change before the platform considers the change announced.
+fn max_poll_retry_period_us(settings: &SchedulerSettings) -> u64 {
+    let announcement_delay_us = match settings.max_poll_interval_us {
+        0 => ANNOUNCEMENT_DELAY_US,
+        interval_us => interval_us.saturating_mul(ANNOUNCEMENT_POLL_INTERVALS).min(ANNOUNCEMENT_DELAY_US),
+    };
+    announcement_delay_us.saturating_sub(POLL_TIMEOUT_US).max(announcement_delay_us / 4)
+}
+
+/// Returns when a poll has to start at the latest so that a draining node that it reports is sent no work
+/// after its grace period, which begins with the announcement. Work that was sent before may still be
+/// connecting.
+fn latest_poll_at_us(settings: &SchedulerSettings, announced_at_us: u64) -> u64 {
+    let margin_us = settings.connect_timeout_us + MAX_HOLD_UP_US;
+    let grace_us = settings.drain_grace_us.saturating_sub(margin_us);
+    (announced_at_us + grace_us).saturating_sub(POLL_TIMEOUT_US)
 }
 
 /// Returns when this gateway's next time slot begins, which may be `now_us`. Periods start at multiples of
@@ -98,8 +128,10 @@
     /// removed.
     pub(super) fn update_endpoints(&mut self, update: &EndpointUpdate) {
         let endpoints = match update {
-            EndpointUpdate::PollFailed => {
-                return self.endpoint_polling.record_failure(&self.settings, self.now_us);
+            EndpointUpdate::PollFailed { announced_by_us } => {
+                let next_poll_by_us = announced_by_us.map(|at_us| latest_poll_at_us(&self.settings, at_us));
+                let (settings, now_us) = (&self.settings, self.now_us);
+                return self.endpoint_polling.record_failure(settings, now_us, next_poll_by_us);
             }
             EndpointUpdate::Delta(endpoints)
             | EndpointUpdate::Snapshot(endpoints)
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -71,7 +71,11 @@
     /// All endpoints that were known before the gateway restarted. Discovery has not confirmed them.
     Cached(Vec<Endpoint>),
     /// The poll failed and returned no endpoints.
-    PollFailed,
+    PollFailed {
+        /// The earliest time at which a change that the poll missed may count as announced; `None` if it is
+        /// to be counted from the arrival of this event.
+        announced_by_us: Option<u64>,
+    },
 }
 
 /// A request as it arrives at the gateway.
--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -124,8 +124,8 @@
         let response = (self.service)(request, RequestContext { admission, started_at, conflicting_length });
         Box::pin(async move {
             let mut response = response.await;
-            // A request with `Transfer-Encoding` closes the connection because an intermediary may treat bytes
-            // that follow a body without `Content-Length` as the rest of that body.
+            // A request with `Transfer-Encoding` closes the connection because an intermediary may treat
+            // bytes that follow a body without `Content-Length` as the rest of that body.
             if has_transfer_encoding || admission == Admission::Overloaded || self.responses_are_final() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -14,8 +14,8 @@
 /// Duration without a further byte after which a connection with an incomplete head can be evicted even
 /// earlier, if the connections that can be evicted otherwise do not suffice.
 const MIN_HEAD_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(50);
-/// Like [`MIN_HEAD_STALL_BEFORE_EVICTION`], but measured from the first byte of the head, for clients that keep
-/// sending parts of it.
+/// Like [`MIN_HEAD_STALL_BEFORE_EVICTION`], but measured from the first byte of the head, for clients that
+/// keep sending parts of it.
 const MIN_SLOW_HEAD_TIME_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 /// Duration after which an idle connection can be evicted.
 const MIN_IDLE_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(2);
@@ -67,8 +67,8 @@
         self.slots.borrow_mut().retain(|other| other.id() != slot.id());
     }
 
-    /// Admits the connection if the number of serving connections is within the serving limit. Returns whether
-    /// the connection is admitted, now or by an earlier call, so that its requests are served.
+    /// Admits the connection if the number of serving connections is within the serving limit. Returns
+    /// whether the connection is admitted, now or by an earlier call, so that its requests are served.
     pub(super) fn try_admit(&self, slot: &ConnectionSlot) -> bool {
         if self.serving_count() <= self.limits.max_served {
             slot.admit();
@@ -106,12 +106,13 @@
     /// If no more connections can be accepted, first evicts every connection that has lingered for at least
     /// [`MIN_LINGER_TIME_BEFORE_EVICTION`]: its client has its response, and only keeps sending.
     ///
-    /// If that does not suffice, or if the serving limit is reached, evicts every connection that was accepted
-    /// at least [`MIN_SILENCE_BEFORE_EVICTION`] ago and has not received a byte, and every connection whose
-    /// request head has been incomplete for at least [`MIN_HEAD_TIME_BEFORE_EVICTION`]. If the serving limit
-    /// still does not allow one more connection, evicts the longest idle connections until it does, except
-    /// those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`]. As long as this does not
-    /// suffice, it evicts connections whose head has stalled, see [`Self::evict_stalled_heads`].
+    /// If that does not suffice, or if the serving limit is reached, evicts every connection that was
+    /// accepted at least [`MIN_SILENCE_BEFORE_EVICTION`] ago and has not received a byte, and every
+    /// connection whose request head has been incomplete for at least [`MIN_HEAD_TIME_BEFORE_EVICTION`]. If
+    /// the serving limit still does not allow one more connection, evicts the longest idle connections until
+    /// it does, except those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`]. As long as
+    /// this does not suffice, it evicts connections whose head has stalled, see
+    /// [`Self::evict_stalled_heads`].
     pub(super) fn evict_stale(&self) {
         if !self.is_limit_reached() {
             return;
@@ -134,8 +135,8 @@
 
     /// Evicts connections with an incomplete head that has stalled for at least
     /// [`MIN_HEAD_STALL_BEFORE_EVICTION`], or that began at least [`MIN_SLOW_HEAD_TIME_BEFORE_EVICTION`] ago.
-    /// Those whose last byte is the oldest are evicted first: as many as the serving limit requires, or, if no
-    /// more connections can be accepted, as many as may be rejected at the same time.
+    /// Those whose last byte is the oldest are evicted first: as many as the serving limit requires, or, if
+    /// no more connections can be accepted, as many as may be rejected at the same time.
     ///
     /// Otherwise, connections in the accept queue would wait for as long as each filling of the table with
     /// incomplete heads lasts.
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -49,7 +49,8 @@
 /// The body of every response.
 const BODY: &str = "served";
 
-/// Answers a request with status 200, or with the error that a front end sends if the body of a request stops.
+/// Answers a request with status 200, or with the error that a front end sends if the body of a request
+/// stops.
 async fn respond(request: Request<Incoming>, context: RequestContext) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(BODY));
     if request.uri().path() == STOPPED_BODY_PATH {
@@ -115,8 +116,8 @@
     response
 }
 
-/// A client that keeps sending after its error occupied its connection for 3 s, and was not taken into account
-/// when silent connections were evicted: no connection was accepted until then.
+/// A client that keeps sending after its error occupied its connection for 3 s, and was not taken into
+/// account when silent connections were evicted: no connection was accepted until then.
 #[tokio::test]
 async fn clients_that_keep_sending_after_an_error_do_not_block_other_clients() {
     let test = async {
@@ -150,8 +151,8 @@
     });
 }
 
-/// Each filling of the table with incomplete heads occupied it for a second, while requests on new connections
-/// waited to be accepted.
+/// Each filling of the table with incomplete heads occupied it for a second, while requests on new
+/// connections waited to be accepted.
 #[tokio::test]
 async fn incomplete_heads_do_not_keep_new_clients_waiting() {
     let test = async {
--- a/tests/common/builders.rs
+++ b/tests/common/builders.rs
@@ -110,7 +110,7 @@
 }
 
 pub fn poll_failed() -> Event {
-    Event::EndpointsUpdated(EndpointUpdate::PollFailed)
+    Event::EndpointsUpdated(EndpointUpdate::PollFailed { announced_by_us: None })
 }
 
 /// Returns a request of plan 1 with a size of 2 units. Its volume and its block have the same number as the
--- a/tests/load/mod.rs
+++ b/tests/load/mod.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -37,30 +37,54 @@
 /// The least memory together with the most descriptors that the Terms of service name.
 pub const TIGHT_LIMITS: Limits = Limits { memory_mb: LEAST_MEMORY_MB, descriptors: MOST_DESCRIPTORS };
 
+/// The position of a gateway in its fleet.
+#[derive(Clone, Copy)]
+pub struct FleetPosition {
+    pub gateway_count: usize,
+    pub gateway_index: usize,
+}
+
 /// A running gateway.
 pub struct Gateway {
     process: GatewayProcess,
+    configuration: Value,
+    configuration_file: PathBuf,
     pub address: SocketAddr,
 }
 
 impl Gateway {
+    /// Starts a gateway that is alone in its fleet; see [`start_in_fleet`](Self::start_in_fleet).
+    pub fn start(name: &str, limits: Limits, node: SocketAddr) -> Self {
+        Gateway::start_in_fleet(name, limits, node, FleetPosition { gateway_count: 1, gateway_index: 0 })
+    }
+
     /// Starts a gateway whose cached endpoint list contains one storage node, and whose discovery is down.
     /// `name` must be unique among the tests.
-    pub fn start(name: &str, limits: Limits, node: SocketAddr) -> Self {
-        let mut config: Value =
+    pub fn start_in_fleet(name: &str, limits: Limits, node: SocketAddr, position: FleetPosition) -> Self {
+        let mut configuration: Value =
             serde_json::from_str(&std::fs::read_to_string(CONFIGURATION).unwrap()).unwrap();
-        let endpoints = config["known"]["endpoints"].as_array_mut().unwrap();
+        let endpoints = configuration["known"]["endpoints"].as_array_mut().unwrap();
         endpoints.truncate(1);
         endpoints[0]["address"] = json!(node.to_string());
-        config["limits"]["memory_mb"] = json!(limits.memory_mb);
-        config["limits"]["sockets"] = json!(limits.descriptors);
-        config["discovery"] = json!("127.0.0.1:1");
+        configuration["limits"]["memory_mb"] = json!(limits.memory_mb);
+        configuration["limits"]["sockets"] = json!(limits.descriptors);
+        configuration["settings"]["balancers"] = json!(position.gateway_count);
+        configuration["settings"]["index"] = json!(position.gateway_index);
+        configuration["discovery"] = json!("127.0.0.1:1");
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
-        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+        let configuration_file = folder.join("config.json");
+        std::fs::write(&configuration_file, configuration.to_string()).unwrap();
         let process = GatewayProcess::start(&folder);
         let address = process.client_address().parse().unwrap();
-        Gateway { process, address }
+        Gateway { process, configuration, configuration_file, address }
+    }
+
+    /// Replaces the address of discovery in the configuration and sends SIGHUP.
+    pub fn move_discovery(&mut self, address: SocketAddr) {
+        self.configuration["discovery"] = json!(address.to_string());
+        std::fs::write(&self.configuration_file, self.configuration.to_string()).unwrap();
+        self.process.send_signal("HUP");
     }
 
     /// Opens a client connection.
