Limit the memory of requests and responses to what the connections leave

Large responses and connections were not taken into account.

Change: the memory is divided into a fixed part for each connection that may be open, a budget for requests and one for responses. A long response stays in the sockets until there is memory for it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,8 @@
 //! | lifecycle | `signals`, `shutdown`, `reload` | | |
 //! | front ends | `frontend`, `body_reader` | `platform_frontend` | `object_frontend`, `admin_frontend` |
 //! | object API | | | `tenants`, `object_limits`, `hashing` |
-//! | storage nodes | `node_registry`, `node_transport`, `descriptors` | `discovery` | `inventory` |
+//! | storage nodes | `node_registry`, `node_transport` | `discovery` | `inventory` |
+//! | limits | `descriptors` | `memory` | |
 //! | metrics | `metrics` | | |
 //!
 //! `hashing` is used for object placement, idempotency keys, and ids of volumes, blocks and requests.
@@ -27,6 +28,7 @@
 mod hashing;
 mod inventory;
 pub mod log;
+mod memory;
 mod metrics;
 mod node_registry;
 mod node_transport;
--- a/src/gateway/node_transport.rs
+++ b/src/gateway/node_transport.rs
@@ -4,7 +4,9 @@
 use crate::protocol::node_response::{self, NodeResponseHead};
 use crate::routing::{Attempt, AttemptResult, RouterHandle};
 use crate::scheduler::{AttemptOutcome, RequestId};
-use crate::transport::{Exchange, ExchangeEvent, ExchangeFailure, StreamedBody, StreamingRule};
+use crate::transport::{
+    Exchange, ExchangeEvent, ExchangeFailure, ResponseMemory, StreamedBody, StreamingRule,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -43,6 +45,8 @@
     pub max_body_len: usize,
     /// Decides which responses are streamed.
     pub streaming: StreamingRule,
+    /// Limits the memory of the responses that are read completely; `None` for no limit.
+    pub response_memory: Option<ResponseMemory>,
 }
 
 /// Sends an attempt to its storage node and reports the attempt's result to `router`. If the node is no
@@ -80,6 +84,7 @@
         cancelled,
         stall_timeout: policy.stall_timeout,
         streaming: policy.streaming,
+        response_memory: policy.response_memory,
         max_body_len: policy.max_body_len,
         on_event: Box::new(move |event| reporter.report(event)),
     }
--- a/src/gateway/object_frontend/transport.rs
+++ b/src/gateway/object_frontend/transport.rs
@@ -82,6 +82,8 @@
             stall_timeout: self.limits.stall_timeout,
             max_body_len: MAX_METADATA_LEN.max(self.limits.response_buffer_len as usize),
             streaming: self.streaming_rule(attempt.payload.clone()),
+            // Each request has reserved memory for its response.
+            response_memory: None,
         };
         start_attempt(&self.router, &self.nodes, attempt, policy);
     }
--- a/src/gateway/platform_frontend/transport.rs
+++ b/src/gateway/platform_frontend/transport.rs
@@ -5,7 +5,7 @@
 use crate::gateway::node_transport::{AttemptPayload, ResponsePolicy, start_attempt};
 use crate::protocol::client_request::{self, ForwardedRequest};
 use crate::routing::{Attempt, AttemptTransport, RouterHandle};
-use crate::transport::StreamingRule;
+use crate::transport::{ResponseMemory, StreamingRule};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -52,6 +52,8 @@
     pub nodes: NodeRegistry,
     /// Sender of watch commands to the [`EndpointWatcher`](crate::gateway::discovery::EndpointWatcher).
     pub watch_commands: mpsc::UnboundedSender<()>,
+    /// Limits the memory of the responses to all requests.
+    pub response_memory: ResponseMemory,
 }
 
 impl AttemptTransport<PlatformPayload> for PlatformTransport {
@@ -60,6 +62,7 @@
             stall_timeout: RESPONSE_STALL_TIMEOUT,
             max_body_len: client_request::MAX_BODY_LEN,
             streaming: StreamingRule::never(),
+            response_memory: Some(self.response_memory.clone()),
         };
         start_attempt(&self.router, &self.nodes, attempt, policy);
     }
--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -5,12 +5,14 @@
 use crate::gateway::descriptors::{ConnectionBudget, NodeConnectionTimeouts, divide_descriptors};
 use crate::gateway::discovery::{DiscoveryTarget, EndpointWatcher, WatchWaits};
 use crate::gateway::error::RunError;
+use crate::gateway::memory::divide_memory;
 use crate::gateway::node_registry::NodeRegistry;
 use crate::gateway::platform_frontend::{PlatformFrontend, PlatformTransport, RequestIds, RequestMemory};
 use crate::gateway::reload::reload_discovery_address;
 use crate::gateway::signals::hangup_signal;
 use crate::routing::RequestRouter;
 use crate::scheduler::SchedulerSettings;
+use crate::transport::ResponseMemory;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -18,9 +20,6 @@
 
 /// Minimum connect timeout, which applies if the settings specify none or a very short one.
 const MIN_CONNECT_TIMEOUT_US: u64 = 1_000;
-/// The part of the gateway's memory that the requests of all clients may reserve is 1 divided by this number.
-const REQUEST_MEMORY_DIVISOR: usize = 4;
-
 /// Starts the gateway's actors, then its server.
 ///
 /// # Errors
@@ -30,7 +29,9 @@
     let GatewayContext { shutdown, metrics, phase, clock } = context;
     let hangup = hangup_signal()?;
     shutdown.answer_before_sigkill(longest_deadline(&config.settings));
-    let ConnectionBudget { clients, nodes: pool_limits } = connection_budget(&config);
+    let connections = connection_budget(&config);
+    let memory = divide_memory(config.memory, &connections);
+    let ConnectionBudget { clients, nodes: pool_limits } = connections;
     let nodes = NodeRegistry::new(pool_limits, config.zone_names);
     let overload_retry_after_us = config.settings.max_retry_after_us;
     let watch_waits = WatchWaits::new(config.settings.gateway_index, config.settings.gateway_count);
@@ -48,7 +49,8 @@
         clock,
         metrics: metrics.clone(),
     };
-    let transport = PlatformTransport { router: router.clone(), nodes, watch_commands };
+    let response_memory = ResponseMemory::new(memory.responses);
+    let transport = PlatformTransport { router: router.clone(), nodes, watch_commands, response_memory };
     let actors = vec![
         spawn_local(watcher.run(watch_command_receiver)),
         spawn_local(router_actor.run(transport)),
@@ -63,7 +65,7 @@
         overload_retry_after_us,
         shutdown,
         request_ids: RequestIds::new(),
-        memory: RequestMemory::new(config.memory / REQUEST_MEMORY_DIVISOR),
+        memory: RequestMemory::new(memory.requests),
     });
     let listener = listen(config.listen).await?;
     let server = spawn_server(listener, clients, phase, frontend);
--- a/src/transport/exchange/mod.rs
+++ b/src/transport/exchange/mod.rs
@@ -1,5 +1,6 @@
 //! One request to a storage node and its response, which is either read completely or streamed.
 
+mod response_memory;
 mod runner;
 
 use super::node_connection::SendError;
@@ -14,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+pub use self::response_memory::ResponseMemory;
 pub(super) use self::runner::run_exchange;
 
 /// Accepts or rejects a response based on its status and headers.
@@ -58,6 +60,8 @@
     /// Maximum length of a body that is read completely, in bytes. A response with a longer body that is not
     /// streamed fails as [`ExchangeFailure::InvalidResponse`].
     pub max_body_len: usize,
+    /// Limits the memory of bodies that are read completely; `None` for no limit.
+    pub response_memory: Option<ResponseMemory>,
     /// Receives [`ExchangeEvent::StreamStarted`] if the response is streamed, and in any case exactly one
     /// final event.
     pub on_event: Box<dyn FnMut(ExchangeEvent)>,
--- a/src/transport/exchange/runner.rs
+++ b/src/transport/exchange/runner.rs
@@ -1,8 +1,9 @@
 //! Runs an exchange on an open connection.
 
+use super::response_memory::{self, ResponseReservation};
 use super::{Exchange, ExchangeEnd, ExchangeEvent, ExchangeFailure, StreamedBody};
 use crate::transport::node_connection::{NodeConnection, SendError};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::http::response;
@@ -101,8 +102,11 @@
     }
 }
 
+/// Reads a body completely, once there is memory for it.
 async fn read_body(exchange: &mut Exchange, mut body: Incoming) -> Result<Bytes, ExchangeFailure> {
-    let mut bytes = BytesMut::new();
+    let expected_len = expected_len(&body, exchange.max_body_len);
+    let reservation = reserve_memory(exchange, expected_len).await?;
+    let mut data = Vec::new();
     loop {
         let stall_deadline = Instant::now() + exchange.stall_timeout;
         let frame = tokio::select! {
@@ -112,16 +116,43 @@
             _ = &mut exchange.cancelled => return Err(ExchangeFailure::Cancelled),
         };
         match frame {
-            None => return Ok(bytes.freeze()),
-            Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            None => return Ok(response_memory::into_bytes(data, reservation)),
+            Some(Ok(frame)) => append(&mut data, frame.data_ref().map_or(&[], |data| data), expected_len),
             Some(Err(error)) => return Err(SendError::from_receive_error(&error).into()),
         }
-        if bytes.len() > exchange.max_body_len {
+        if data.len() > exchange.max_body_len {
             return Err(ExchangeFailure::InvalidResponse);
         }
     }
 }
 
+/// Returns the length of a body, or the maximum length if the head does not state it.
+fn expected_len(body: &Incoming, max_len: usize) -> usize {
+    body.size_hint().exact().map_or(max_len, |len| len as usize).min(max_len)
+}
+
+/// Appends a part of a body. The buffer does not grow beyond the expected length as long as the data does
+/// not.
+fn append(data: &mut Vec<u8>, part: &[u8], expected_len: usize) {
+    let len = data.len() + part.len();
+    if len > data.capacity() {
+        let capacity = (2 * data.capacity()).min(expected_len).max(len);
+        data.reserve_exact(capacity - data.len());
+    }
+    data.extend_from_slice(part);
+}
+
+/// Waits for the memory of a body, until the deadline of the exchange.
+async fn reserve_memory(exchange: &mut Exchange, len: usize) -> Result<ResponseReservation, ExchangeFailure> {
+    let Some(memory) = &exchange.response_memory else { return Ok(None) };
+    tokio::select! {
+        biased;
+        reservation = memory.reserve(len) => Ok(reservation),
+        () = tokio::time::sleep_until(exchange.deadline) => Err(ExchangeFailure::TimedOut),
+        _ = &mut exchange.cancelled => Err(ExchangeFailure::Cancelled),
+    }
+}
+
 /// Forwards the body to the client as it arrives.
 ///
 /// A streamed body is never continued from another exchange. If the node does not send the complete body, the
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -35,7 +35,7 @@
 pub use client_connection::{Admission, RequestContext};
 pub use connection_pool::{ConnectionPool, PoolLimits};
 pub use connection_table::ConnectionLimits;
-pub use exchange::{Exchange, ExchangeEvent, ExchangeFailure, StreamedBody, StreamingRule};
+pub use exchange::{Exchange, ExchangeEvent, ExchangeFailure, ResponseMemory, StreamedBody, StreamingRule};
 pub use lifecycle::LifecyclePhase;
 pub use node_connection::{NodeConnection, SendError};
 pub use server::serve;
--- a/tests/memory_limits.rs
+++ b/tests/memory_limits.rs
@@ -2,7 +2,10 @@
 
 mod load;
 
-use load::{Gateway, LEAST_MEMORY_MB, Limits, send_until_closed, start_node, write_head};
+use load::{
+    Gateway, LEAST_MEMORY_MB, Limits, TIGHT_LIMITS, read_head, send_until_closed, start_hanging_node,
+    start_node, write_head,
+};
 use std::time::Duration;
 use tokio::task::{JoinSet, LocalSet};
 
@@ -12,14 +15,14 @@
 /// Bodies in chunks of one byte occupied 32 bytes of memory and more for each of their chunks.
 #[tokio::test]
 async fn bodies_in_tiny_chunks_do_not_exceed_the_memory() {
-    const CLIENTS: usize = 60;
+    const TINY_CHUNK_CLIENTS: usize = 60;
     let test = async {
         let (node, _) = start_node(b"").await;
         let limits = Limits { memory_mb: LEAST_MEMORY_MB, descriptors: 384 };
         let gateway = Gateway::start("memory_tiny_chunks", limits, node);
         let chunks = b"1\r\nx\r\n".repeat(64 * 1024);
         let mut clients = JoinSet::new();
-        for number in 0..CLIENTS {
+        for number in 0..TINY_CHUNK_CLIENTS {
             let head = write_head(&format!("{number:016x}")) + "Transfer-Encoding: chunked\r\n\r\n";
             let request = [head.as_bytes(), &chunks].concat();
             let stream = gateway.connect().await;
@@ -31,3 +34,149 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// The number of clients that are connected at once. It exceeds the gateway's limit on client connections.
+const CLIENTS: usize = 600;
+const MAX_BODY_LEN: usize = 64 * 1024;
+
+/// Lets all clients send their bytes at the same time, and stay connected.
+async fn send_from_all_clients(gateway: &Gateway, bytes: impl Fn(usize) -> Vec<u8>) {
+    let mut clients = JoinSet::new();
+    for number in 0..CLIENTS {
+        let (stream, bytes) = (gateway.connect().await, bytes(number));
+        clients.spawn_local(async move { send_until_closed(stream, &bytes, ANSWER_TIMEOUT).await });
+    }
+    clients.join_all().await;
+}
+
+fn assert_memory_within_limit(gateway: &Gateway, clients: &str) {
+    let peak = gateway.peak_memory_mb();
+    assert!(peak <= LEAST_MEMORY_MB, "{clients}: the gateway used {peak} MB of memory");
+}
+
+/// Clients that stopped within a large request each held its memory until their time was over.
+#[tokio::test]
+async fn clients_that_stop_within_a_request_do_not_exceed_the_memory() {
+    let test = async {
+        let gateway = Gateway::start("memory_stopped", TIGHT_LIMITS, start_hanging_node().await);
+        send_from_all_clients(&gateway, |number| {
+            let head = write_head(&format!("{number:016x}"));
+            let body = vec![b'x'; MAX_BODY_LEN - 1];
+            [format!("{head}Content-Length: {MAX_BODY_LEN}\r\n\r\n").into_bytes(), body].concat()
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "bodies that stop");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Large requests that wait for a node that hangs were not limited in their sum.
+#[tokio::test]
+async fn complete_large_requests_do_not_exceed_the_memory() {
+    let test = async {
+        let gateway = Gateway::start("memory_complete", TIGHT_LIMITS, start_hanging_node().await);
+        send_from_all_clients(&gateway, |number| {
+            let head = write_head(&format!("{number:016x}"));
+            let body = vec![b'x'; MAX_BODY_LEN];
+            [format!("{head}Content-Length: {MAX_BODY_LEN}\r\n\r\n").into_bytes(), body].concat()
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "complete bodies");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Requests with many short header fields held a table of all of them.
+#[tokio::test]
+async fn heads_of_many_short_fields_do_not_exceed_the_memory() {
+    let test = async {
+        let fields: String = (0..88).map(|number| format!("a{number}:\r\n")).collect();
+        let gateway = Gateway::start("memory_fields", TIGHT_LIMITS, start_hanging_node().await);
+        send_from_all_clients(&gateway, |number| {
+            format!("{}{fields}\r\n", read_head(&format!("{number:016x}"))).into_bytes()
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "complete heads");
+        let fields: String = (0..2500).map(|_| "a:\r\n").collect();
+        let gateway = Gateway::start("memory_fields", TIGHT_LIMITS, start_hanging_node().await);
+        send_from_all_clients(&gateway, |number| {
+            format!("{}{fields}", read_head(&format!("{number:016x}"))).into_bytes()
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "incomplete heads");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Each connection read up to 32 KB ahead of the request in progress.
+#[tokio::test]
+async fn pipelined_requests_do_not_exceed_the_memory() {
+    let test = async {
+        let gateway = Gateway::start("memory_pipelined", TIGHT_LIMITS, start_hanging_node().await);
+        send_from_all_clients(&gateway, |number| {
+            let request = format!("{}\r\n", read_head(&format!("{number:016x}")));
+            request.repeat(400).into_bytes()
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "pipelined requests");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Large responses were not limited in their sum.
+#[tokio::test]
+async fn large_responses_do_not_exceed_the_memory() {
+    let test = async {
+        let response: &'static [u8] = vec![b'x'; MAX_BODY_LEN].leak();
+        let (node, _) = start_node(response).await;
+        let gateway = Gateway::start("memory_responses", TIGHT_LIMITS, node);
+        send_from_all_clients(&gateway, |number| {
+            (0..20)
+                .map(|part| format!("{}\r\n", read_head(&format!("{:016x}", number * 100 + part))))
+                .collect::<String>()
+                .into_bytes()
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "large responses");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Each connection that lingers after an error had a buffer for the input that it discards.
+#[tokio::test]
+async fn clients_that_keep_sending_after_an_error_do_not_exceed_the_memory() {
+    let test = async {
+        let gateway = Gateway::start("memory_lingering", TIGHT_LIMITS, start_hanging_node().await);
+        send_from_all_clients(&gateway, |_| b"not a request \r\n".repeat(100_000)).await;
+        assert_memory_within_limit(&gateway, "clients after an error");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// The limits of requests, responses and connections hold together, not only each for itself.
+#[tokio::test]
+async fn clients_of_all_kinds_together_do_not_exceed_the_memory() {
+    let test = async {
+        let response: &'static [u8] = vec![b'x'; MAX_BODY_LEN].leak();
+        let (node, _) = start_node(response).await;
+        let gateway = Gateway::start("memory_all_kinds", TIGHT_LIMITS, node);
+        let fields: String = (0..2500).map(|_| "a:\r\n").collect();
+        send_from_all_clients(&gateway, |number| {
+            let id = format!("{:016x}", number * 100);
+            let length = format!("Content-Length: {MAX_BODY_LEN}\r\n\r\n");
+            let body = || vec![b'x'; MAX_BODY_LEN];
+            match number % 4 {
+                0 => [format!("{}{length}", write_head(&id)).into_bytes(), body()[1..].to_vec()].concat(),
+                1 => [format!("{}{length}", write_head(&id)).into_bytes(), body()].concat(),
+                2 => format!("{}{fields}", read_head(&id)).into_bytes(),
+                _ => (0..60)
+                    .map(|part| format!("{}\r\n", read_head(&format!("{:016x}", number * 100 + part))))
+                    .collect::<String>()
+                    .into_bytes(),
+            }
+        })
+        .await;
+        assert_memory_within_limit(&gateway, "clients of all kinds");
+    };
+    LocalSet::new().run_until(test).await;
+}
