Limit the state that the scheduler keeps for the names in requests

Cause: volumes, fair queues, ordering queues, queues and requested rates of shards and, with a retry budget, the time of each request were kept for every name that any request had contained, even if it was rejected at once.

Change: the number of volumes follows from limits.memory_mb; those without unfinished requests that were never sent to a node are dropped first. The other tables drop what no node or unfinished request needs.

--- a/src/gateway/config/object/settings.rs
+++ b/src/gateway/config/object/settings.rs
@@ -66,6 +66,7 @@
         unreserved_weight_factor: UNRESERVED_WEIGHT_FACTOR,
         metering_period_us: None,
         nodes_report_other_gateways: false,
+        max_tracked_volumes: None,
     }
 }
 
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -16,6 +16,11 @@
 /// all of it.
 const MIN_REMAINING_FRACTION: f64 = 0.125;
 
+/// The part of the gateway's memory for the state of volumes is 1 divided by this number.
+const VOLUME_MEMORY_DIVISOR: usize = 32;
+/// Memory of the state of one volume, in bytes.
+const VOLUME_MEMORY: usize = 128;
+
 /// The memory that the requests and the responses of all clients may reserve.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
@@ -23,6 +28,8 @@
     pub requests: usize,
     /// Memory that responses may reserve, in bytes.
     pub responses: usize,
+    /// Maximum number of volumes whose state the scheduler keeps.
+    pub volumes: usize,
 }
 
 /// Divides `memory`, the maximum memory of the process in bytes, after subtracting that of all connections
@@ -36,5 +43,6 @@
     MemoryBudget {
         requests: (remaining * REQUEST_FRACTION) as usize,
         responses: (remaining * RESPONSE_FRACTION) as usize,
+        volumes: memory / VOLUME_MEMORY_DIVISOR / VOLUME_MEMORY,
     }
 }
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -269,6 +269,7 @@
             unreserved_weight_factor: workload.unreserved_weight_factor,
             metering_period_us: nonzero(workload.metering_period_us),
             nodes_report_other_gateways: workload.nodes_report_other_gateways,
+            max_tracked_volumes: None,
         }
     }
 
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -45,12 +45,14 @@
             VolumeAdmission::Admitted { reserved } => reserved,
         };
         if let Some(shard) = incoming.shard.filter(|_| reserved) {
-            self.slow_start.record_requested(shard, incoming.units, self.now_us);
+            let is_held = |shard: ShardId| self.nodes.iter().any(|node| node.shard == shard);
+            self.slow_start.record_requested(shard, incoming.units, self.now_us, is_held);
         }
         let request = self.new_request(incoming, objective_at_us, reserved);
         if let Some(block) = self.ordering_block(&request) {
             self.ordering.enqueue(block, incoming.id);
         }
+        self.volumes.record_queued(incoming.volume);
         self.requests.insert(incoming.id, request);
         self.place_and_enqueue(incoming.id);
     }
@@ -82,10 +84,9 @@
         let (gateway_count, max_request_units) =
             (incoming.volume_gateway_count.max(1.0), self.settings.max_request_units);
         let started_at_us = self.started_at_us;
-        let volume = self
-            .volumes
-            .entry(incoming.volume)
-            .or_insert_with(|| Volume::new(plan, gateway_count, max_request_units, started_at_us));
+        let volume = self.volumes.get_or_create(incoming.volume, self.now_us, || {
+            Volume::new(plan, gateway_count, max_request_units, started_at_us)
+        });
         volume.gateway_count = volume.gateway_count.max(gateway_count);
         volume.advance(plan, self.now_us, max_request_units);
         volume.record_requested(incoming.units);
--- a/src/scheduler/completion.rs
+++ b/src/scheduler/completion.rs
@@ -73,7 +73,7 @@
     fn record_volume_rates(&mut self, report: &AttemptReport) {
         let request = &self.requests[&report.request];
         let plan = self.settings.plan(request.plan);
-        let Some(volume) = self.volumes.get_mut(&request.volume) else { return };
+        let Some(volume) = self.volumes.get_mut(request.volume) else { return };
         volume.advance(plan, self.now_us, self.settings.max_request_units);
         if self.settings.nodes_report_other_gateways {
             volume.record_served_via_other_gateways(report.units_via_other_gateways);
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -262,7 +262,7 @@
         if !request.is_rate_limit_charge_pending() {
             return true;
         }
-        let Some(volume) = self.volumes.get_mut(&request.volume) else { return true };
+        let Some(volume) = self.volumes.get_mut(request.volume) else { return true };
         let plan = self.settings.plan(request.plan);
         volume.advance(plan, self.now_us, self.settings.max_request_units);
         volume.rate_limit_admits(plan, request.units)
@@ -270,21 +270,23 @@
 
     /// Sends an attempt and records it in the retry budget, the rate limit and the state of the node.
     fn send(&mut self, id: RequestId, node_index: NodeIndex, actions: &mut Vec<Action>) {
+        let max_fair_queue_volumes = self.volumes.max_len() / self.nodes.len().max(1);
         let request = &mut self.requests[&id];
         let node = &mut self.nodes[node_index];
         node.slow_start = self.slow_start.bucket_after_send(node, request.units, self.now_us);
+        self.volumes.record_sent(request.volume);
         if request.attempts > 0 {
             self.retry_usage.record_retry(self.now_us);
         }
         if request.is_rate_limit_charge_pending()
-            && let Some(volume) = self.volumes.get_mut(&request.volume)
+            && let Some(volume) = self.volumes.get_mut(request.volume)
         {
             volume.charge(request.units);
             request.rate_limit_charge = RateLimitCharge::Settled;
         }
         if request.sent_from_lower_rank {
             let weight = self.settings.plan(request.plan).weight;
-            node.fair_queue.record_send(request.volume, request.units, weight);
+            node.fair_queue.record_send(request.volume, request.units, weight, max_fair_queue_volumes);
         }
         node.pacing.record_send(self.now_us, MIN_PACING_GAP_FACTOR + self.rng.f64());
         request.attempts += 1;
--- a/src/scheduler/expiry.rs
+++ b/src/scheduler/expiry.rs
@@ -3,7 +3,7 @@
 
 use super::Scheduler;
 use super::action::Action;
-use super::event::RequestId;
+use super::event::{RequestId, ShardId};
 use super::request::Request;
 
 /// Lower bound of [`Scheduler::expiry_interval_us`].
@@ -121,7 +121,7 @@
     /// Returns the time until the rate limit of the request's volume admits it, in microseconds; 0 if the
     /// request is already charged to the limit or its plan has none.
     fn rate_limit_wait_us(&self, request: &Request) -> u64 {
-        let volume = self.volumes.get(&request.volume).filter(|_| request.is_rate_limit_charge_pending());
+        let volume = self.volumes.get(request.volume).filter(|_| request.is_rate_limit_charge_pending());
         let rate_limit = self.settings.plan(request.plan).rate_limit;
         // No units are added here: those of the request are already among the volume's uncharged units.
         volume.zip(rate_limit).map_or(0, |(volume, limit)| volume.rate_limit_wait_us(&limit, 0.0))
@@ -141,10 +141,11 @@
     /// in flight. Called again when an attempt that was still in flight has ended.
     pub(super) fn finish(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        let queued_shard = request.shard().filter(|_| request.is_queued());
         let was_unanswered = request.mark_answered();
         if was_unanswered
             && request.is_rate_limit_charge_pending()
-            && let Some(volume) = self.volumes.get_mut(&request.volume)
+            && let Some(volume) = self.volumes.get_mut(request.volume)
         {
             volume.remove_uncharged(request.units);
         }
@@ -152,9 +153,28 @@
             return;
         }
         let request = &self.requests[&id];
-        if let Some(block) = self.ordering_block(request) {
-            self.ordering.remove(block, id);
+        let (volume, block) = (request.volume, self.ordering_block(request));
+        if let Some(block) = block {
+            self.ordering.remove(block, id, self.now_us);
         }
+        self.volumes.record_removed(volume);
         self.requests.swap_remove(&id);
+        if let Some(shard) = queued_shard {
+            self.remove_from_unserved_queue(shard, id);
+        }
+    }
+
+    /// Removes a request from the queue of its shard if no node holds the shard. Other queues are cleaned by
+    /// `dispatch`. Clients can name any shard, so that queues would accumulate.
+    fn remove_from_unserved_queue(&mut self, shard: ShardId, id: RequestId) {
+        if self.nodes.iter().any(|node| node.shard == shard) {
+            return;
+        }
+        if let Some(queue) = self.queues.get_mut(&shard) {
+            queue.retain(|other| *other != id);
+            if queue.is_empty() {
+                self.queues.remove(&shard);
+            }
+        }
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -28,6 +28,7 @@
 //! | `node`, `concurrency_window`, `health`, `fair_queue` | tracks the state of a node |
 //! | `slow_start` | limits the load of nodes that have just started |
 //! | `volume` | tracks a volume's reservation, rate limit and observed rates |
+//! | `volume_table` | limits the number of volumes whose state is kept |
 //! | `latency_model`, `slot_split` | implements the paper's model |
 
 mod action;
@@ -48,6 +49,7 @@
 mod slot_split;
 mod slow_start;
 mod volume;
+mod volume_table;
 
 pub use action::Action;
 pub use event::{
@@ -65,12 +67,12 @@
 use node::NodeState;
 use request::Request;
 use retry::{OrderingQueues, RetryUsage};
-use rustc_hash::{FxBuildHasher, FxHashMap};
+use rustc_hash::FxBuildHasher;
 use slot_split::SlotSplit;
 use slow_start::SlowStart;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use volume::Volume;
+use volume_table::VolumeTable;
 
 /// The lower bound of both factors of the maximum priority. Keeps the maximum priority above 0, because other
 /// priorities are divided by it.
@@ -100,7 +102,7 @@
     slot_split: SlotSplit,
     nodes: Vec<NodeState>,
     slow_start: SlowStart,
-    volumes: FxHashMap<VolumeId, Volume>,
+    volumes: VolumeTable,
     requests: IndexMap<RequestId, Request, FxBuildHasher>,
     /// The requests queued for each shard. May contain requests that are no longer queued for that shard;
     /// `dispatch` removes them.
@@ -129,7 +131,7 @@
             slot_split: SlotSplit::new(),
             nodes: Vec::new(),
             slow_start: SlowStart::new(&settings, now_us),
-            volumes: FxHashMap::default(),
+            volumes: VolumeTable::new(settings.max_tracked_volumes),
             requests: IndexMap::default(),
             queues: BTreeMap::new(),
             ordering: OrderingQueues::default(),
@@ -155,6 +157,13 @@
         self.set_timer(actions);
     }
 
+    /// Returns the number of volumes, shards and blocks whose state is kept because requests have named them.
+    pub fn tracked_names(&self) -> usize {
+        let fair_queues: usize = self.nodes.iter().map(|node| node.fair_queue.len()).sum();
+        let shards = self.queues.len() + self.slow_start.requested_shards();
+        self.volumes.len() + fair_queues + shards + self.ordering.len()
+    }
+
     fn handle_event(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::EndpointsUpdated(update) => self.update_endpoints(update),
--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -9,6 +9,9 @@
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
+/// The number of ordering queues below which unnecessary ones are not searched for.
+const MIN_ORDERING_QUEUES: usize = 1_024;
+
 /// The requests received and the retries sent within the retry window.
 ///
 /// Platform rule (retry budget): the number of retries sent within the retry window must not exceed a fixed
@@ -27,9 +30,11 @@
 
     /// Records that a request is received.
     pub(super) fn record_request(&mut self, now_us: u64) {
-        if self.budget.is_some() {
-            self.request_times_us.push_back(now_us);
+        let Some(budget) = self.budget else { return };
+        while self.request_times_us.front().is_some_and(|at_us| at_us + budget.window_us <= now_us) {
+            self.request_times_us.pop_front();
         }
+        self.request_times_us.push_back(now_us);
     }
 
     /// Records that a retry is sent.
@@ -59,21 +64,44 @@
     not_before_us: u64,
 }
 
+impl BlockQueue {
+    fn is_needed(&self, now_us: u64) -> bool {
+        !self.unfinished.is_empty() || now_us < self.not_before_us
+    }
+}
+
 /// The queues of requests for each block, of the classes that require order.
 ///
 /// Platform rule (ordering): the requests of such a class for one block are executed one at a time, in order
-/// of arrival. The entries of blocks are never removed, even when their queues are empty.
+/// of arrival.
 #[derive(Default)]
-pub(super) struct OrderingQueues(FxHashMap<BlockId, BlockQueue>);
+pub(super) struct OrderingQueues {
+    queues: FxHashMap<BlockId, BlockQueue>,
+    /// The number of queues at which those that are not needed are removed.
+    max_queues: usize,
+}
 
 impl OrderingQueues {
+    pub(super) fn len(&self) -> usize {
+        self.queues.len()
+    }
+
     pub(super) fn enqueue(&mut self, block: BlockId, request: RequestId) {
-        self.0.entry(block).or_default().unfinished.push_back(request);
+        self.queues.entry(block).or_default().unfinished.push_back(request);
     }
 
-    pub(super) fn remove(&mut self, block: BlockId, request: RequestId) {
-        if let Some(queue) = self.0.get_mut(&block) {
+    /// Removes a request, and the queues that have become unnecessary. Those of delayed blocks are removed
+    /// later.
+    pub(super) fn remove(&mut self, block: BlockId, request: RequestId, now_us: u64) {
+        if let Some(queue) = self.queues.get_mut(&block) {
             queue.unfinished.retain(|other| *other != request);
+            if !queue.is_needed(now_us) {
+                self.queues.remove(&block);
+            }
+        }
+        if self.queues.len() > self.max_queues {
+            self.queues.retain(|_, queue| queue.is_needed(now_us));
+            self.max_queues = 2 * self.queues.len() + MIN_ORDERING_QUEUES;
         }
     }
 
@@ -81,14 +109,14 @@
     /// ended may still be executing on its node. Retries are not delayed: only the request whose own earlier
     /// attempt may still be executing is retried, so the order is preserved.
     fn delay(&mut self, block: BlockId, until_us: u64) {
-        if let Some(queue) = self.0.get_mut(&block) {
+        if let Some(queue) = self.queues.get_mut(&block) {
             queue.not_before_us = queue.not_before_us.max(until_us);
         }
     }
 
     /// Returns whether the request is the first in its block's queue and not delayed.
     fn admits(&self, block: BlockId, id: RequestId, is_first_attempt: bool, now_us: u64) -> bool {
-        let Some(queue) = self.0.get(&block) else { return true };
+        let Some(queue) = self.queues.get(&block) else { return true };
         let is_delayed = is_first_attempt && now_us < queue.not_before_us;
         queue.unfinished.front() == Some(&id) && !is_delayed
     }
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -172,6 +172,8 @@
     pub metering_period_us: Option<u64>,
     /// Whether nodes report how many units they served for a volume through other gateways.
     pub nodes_report_other_gateways: bool,
+    /// The maximum number of volumes whose state is kept; `None` for the scheduler's own limit.
+    pub max_tracked_volumes: Option<usize>,
 }
 
 impl SchedulerSettings {
--- a/src/scheduler/slow_start.rs
+++ b/src/scheduler/slow_start.rs
@@ -39,6 +39,8 @@
 const MIN_CAPACITY: f64 = 1e-3;
 /// Lower bound of the refill rate when it is used as a divisor, in units per second.
 const MIN_RATE: f64 = 1e-6;
+/// Maximum number of shards with a requested rate that no node holds.
+const MAX_UNKNOWN_SHARDS: usize = 4_096;
 /// Number of units by which a request may exceed the tokens in the bucket, to allow for rounding.
 const ROUNDING_UNITS: f64 = 1e-6;
 
@@ -107,6 +109,8 @@
     /// Units per second that clients of this gateway requested of each shard within the reservations of their
     /// volumes.
     requested_rates: FxHashMap<ShardId, RateEstimator>,
+    /// Number of shards in `requested_rates` at which those that no node holds are dropped.
+    max_requested_shards: usize,
 }
 
 impl SlowStart {
@@ -118,6 +122,7 @@
             gateway_started_at_us: now_us,
             served_rates: FxHashMap::default(),
             requested_rates: FxHashMap::default(),
+            max_requested_shards: MAX_UNKNOWN_SHARDS,
         }
     }
 
@@ -206,12 +211,32 @@
 
     /// Records units that a client of this gateway requested of the shard within the reservation of its
     /// volume.
-    pub(super) fn record_requested(&mut self, shard: ShardId, units: f64, at_us: u64) {
+    ///
+    /// Clients can name any shard. If there are too many, drops those for which `is_held`, whether a node
+    /// holds a shard, returns false.
+    pub(super) fn record_requested(
+        &mut self,
+        shard: ShardId,
+        units: f64,
+        at_us: u64,
+        is_held: impl Fn(ShardId) -> bool,
+    ) {
+        if self.requested_rates.len() >= self.max_requested_shards
+            && !self.requested_rates.contains_key(&shard)
+        {
+            self.requested_rates.retain(|shard, _| is_held(*shard));
+            self.max_requested_shards = self.requested_rates.len() + MAX_UNKNOWN_SHARDS;
+        }
         let averaging_time_s = self.warm_up_time_s();
         let initial = RateEstimator::starting_at(self.gateway_started_at_us);
         self.requested_rates.entry(shard).or_insert(initial).record(units, at_us, averaging_time_s);
     }
 
+    /// Returns the number of shards that requests have named.
+    pub(super) fn requested_shards(&self) -> usize {
+        self.requested_rates.len()
+    }
+
     /// Returns the highest recent rate at which nodes of the shard served this gateway while warm, in units
     /// per second.
     ///
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -2,7 +2,10 @@
 
 mod load;
 
-use load::{Gateway, TIGHT_LIMITS, read_head, read_message, send_until_closed, start_node, write_head};
+use load::{
+    Gateway, LEAST_MEMORY_MB, TIGHT_LIMITS, read_head, read_message, send_until_closed, start_node,
+    write_head,
+};
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -73,3 +76,36 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Returns requests with ever new ids, blocks and volumes, for shards that `shard` chooses.
+fn requests_with_new_names(count: usize, shard: impl Fn(usize) -> usize) -> &'static [u8] {
+    let request = |number: usize| {
+        let (id, shard) = (0xf00d_0000_0000_0000 + number, shard(number));
+        format!(
+            "GET /api/{number:016x} HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Kind: dossier-read\r\nTier: basic\r\n\
+             Req-Deadline: 4900m\r\nIO-Info: volume={number:016x},units=2,shard={shard},hosts=3\r\n\r\n"
+        )
+    };
+    (0..count).map(request).collect::<String>().into_bytes().leak()
+}
+
+/// One client sends requests at full speed on one connection, under names that are always new. The state of
+/// the gateway grew with each name, and other clients waited.
+#[tokio::test]
+async fn one_client_with_ever_new_names_delays_no_answers_and_fills_no_memory() {
+    const REQUESTS: usize = 300_000;
+    let test = async {
+        let (node, _) = start_node(b"data").await;
+        for (name, shard) in [("shards", (|number| 1000 + number) as fn(usize) -> usize), ("volumes", |_| 3)]
+        {
+            let gateway = Gateway::start(&format!("flood_new_{name}"), TIGHT_LIMITS, node);
+            let flood = start_flood(gateway.address, FLOOD_THREADS, requests_with_new_names(REQUESTS, shard));
+            let longest = longest_answer_time(&gateway).await;
+            flood.into_iter().for_each(|thread| thread.join().unwrap());
+            let peak = gateway.peak_memory_mb();
+            assert!(longest <= ANSWER_TIMEOUT, "new {name}: an answer took {longest:?}");
+            assert!(peak <= LEAST_MEMORY_MB, "new {name}: the gateway used {peak} MB of memory");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/tests/common/builders.rs
+++ b/tests/common/builders.rs
@@ -56,6 +56,7 @@
         unreserved_weight_factor: 0.3,
         metering_period_us: None,
         nodes_report_other_gateways: false,
+        max_tracked_volumes: None,
     }
 }
 
