Let the runtime report a close before the next request of a connection starts

Cause: a close behind more bytes than the socket's buffer takes is noticed only when the previous answer is written and the client's machine resets the connection. The next request, which was in hyper's buffer, started in the same turn.

Change: before each request but the first of a connection, the connection yields, and a request of a client that has closed the connection is not started.

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -78,8 +78,8 @@
     table: Rc<ConnectionTable>,
     phase: watch::Receiver<LifecyclePhase>,
     service: Rc<S>,
-    /// Whether a request has started since the runtime last polled the connection.
-    request_started_in_turn: Cell<bool>,
+    /// Whether a request has started on the connection.
+    has_started_request: Cell<bool>,
 }
 
 impl<S, F> ClientConnection<S>
@@ -103,7 +103,7 @@
             table,
             phase,
             service,
-            request_started_in_turn: Cell::new(false),
+            has_started_request: Cell::new(false),
         }
     }
 
@@ -132,10 +132,12 @@
         let has_transfer_encoding = request.headers().contains_key(TRANSFER_ENCODING);
         let conflicting_length = has_transfer_encoding && self.read_ahead.conflicting_length();
         let context = RequestContext { admission, started_at, conflicting_length };
-        let is_first_in_turn = !self.request_started_in_turn.replace(true);
+        let is_first = !self.has_started_request.replace(true);
         Box::pin(async move {
-            if !is_first_in_turn {
-                // Other connections take their turns between two requests of one connection.
+            if !is_first {
+                // Other connections take their turns between two requests of one connection. The runtime also
+                // reports whether the previous response has reached a client that has closed its connection:
+                // behind many unread bytes, the close itself cannot be seen.
                 tokio::task::yield_now().await;
             }
             if self.read_ahead.is_closed_by_client() {
@@ -172,10 +174,7 @@
             tokio::select! {
                 biased;
                 // hyper has finished: the last response was written, or the connection failed.
-                _ = poll_fn(|cx| {
-                    self.request_started_in_turn.set(false);
-                    connection.poll_without_shutdown(cx)
-                }) => return ConnectionEnd::Finished,
+                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return ConnectionEnd::Finished,
                 // The client disconnected, and hyper has not detected it.
                 () = poll_fn(|cx| self.poll_client_closed(cx, &mut check_interval)) => {
                     return ConnectionEnd::Aborted;
