Remember the ids of requests that may have run apart from those of rejected ones

Cause: the number of remembered ids is limited, and ids of requests that are rejected at once counted. One client with ever new ids at full speed replaced all others within 3 s.

Change: ids of requests for which an attempt has started are kept in a set of their own. The permit to start attempts records this, and is revoked in the moment in which the client's connection ends.

--- a/src/gateway/node_transport.rs
+++ b/src/gateway/node_transport.rs
@@ -78,7 +78,7 @@
     Exchange {
         build_request: Box::new(move || {
             let time_left = deadline.saturating_duration_since(Instant::now());
-            start_permit.is_valid().then(|| payload.encode(time_left))
+            start_permit.try_start().then(|| payload.encode(time_left))
         }),
         deadline,
         cancelled,
--- a/src/gateway/platform_frontend/mod.rs
+++ b/src/gateway/platform_frontend/mod.rs
@@ -91,8 +91,9 @@
         let read_deadline = context.started_at + REQUEST_READ_TIMEOUT;
         let payload = self.receive_payload(forwarded_head, body, read_deadline).await?;
         let incoming = self.incoming_request(&parsed);
-        id_guard.mark_used();
-        Ok(self.router.submit(incoming, payload).await.into())
+        let answer = self.router.submit(incoming, payload);
+        id_guard.mark_used(answer.start_permit());
+        Ok(answer.await.into())
     }
 
     /// Reads the body of a request, as far as the memory for requests allows.
--- a/src/gateway/platform_frontend/request_ids/mod.rs
+++ b/src/gateway/platform_frontend/request_ids/mod.rs
@@ -3,12 +3,19 @@
 mod recent_ids;
 
 use crate::gateway::hashing::hash_fields;
+use crate::routing::StartPermit;
 use hyper::header::HeaderValue;
 use recent_ids::RecentIds;
 use rustc_hash::FxHashSet;
 use std::cell::RefCell;
 use tokio::time::Instant;
 
+/// Maximum number of ids in a generation of those that were sent to nodes. Two generations of this size
+/// occupy about 2 MB. This suffices for three times the highest request rate in the Terms of service, 600
+/// requests per second.
+const MAX_SENT_GENERATION_LEN: usize = 56 * 1024;
+/// Maximum number of ids in a generation of those that were not sent.
+const MAX_UNSENT_GENERATION_LEN: usize = 14 * 1024;
 /// Length of an [`IdDigest`], in bytes. Digests of different ids do not collide in practice.
 const DIGEST_LEN: usize = 16;
 
@@ -42,14 +49,22 @@
 
 struct RegisteredIds {
     in_progress: FxHashSet<IdDigest>,
-    recent: RecentIds,
+    /// Ids of requests that a storage node may have run.
+    sent: RecentIds,
+    /// Ids of requests that were complete and not sent to any node, and of copies of requests. Clients can
+    /// use up this set at any speed, the other one only as fast as nodes are sent requests.
+    unsent: RecentIds,
 }
 
 impl RequestIds {
     /// Creates a registry without ids.
     pub fn new() -> Self {
-        let recent = RecentIds::new(Instant::now());
-        RequestIds(RefCell::new(RegisteredIds { in_progress: FxHashSet::default(), recent }))
+        let now = Instant::now();
+        RequestIds(RefCell::new(RegisteredIds {
+            in_progress: FxHashSet::default(),
+            sent: RecentIds::new(MAX_SENT_GENERATION_LEN, now),
+            unsent: RecentIds::new(MAX_UNSENT_GENERATION_LEN, now),
+        }))
     }
 
     /// Registers the id of a request, which is in progress until the returned guard is dropped.
@@ -62,22 +77,35 @@
         let RequestIds(ids) = self;
         let id = IdDigest::of(id);
         ids.borrow_mut().insert(id, Instant::now())?;
-        Ok(RequestIdGuard { ids, id, used: false })
+        Ok(RequestIdGuard { ids, id, start_permit: None })
     }
 }
 
 impl RegisteredIds {
     fn insert(&mut self, id: IdDigest, now: Instant) -> Result<(), DuplicateId> {
-        let duplicate = if self.in_progress.contains(&id) {
-            DuplicateId::InProgress
-        } else if self.recent.contains(id, now) {
-            DuplicateId::RecentlyUsed
-        } else {
-            self.in_progress.insert(id);
-            return Ok(());
-        };
-        self.recent.insert(id, now);
-        Err(duplicate)
+        if self.in_progress.contains(&id) {
+            self.unsent.insert(id, now);
+            return Err(DuplicateId::InProgress);
+        }
+        for recent in [&mut self.sent, &mut self.unsent] {
+            if recent.contains(id, now) {
+                recent.insert(id, now);
+                return Err(DuplicateId::RecentlyUsed);
+            }
+        }
+        self.in_progress.insert(id);
+        Ok(())
+    }
+
+    /// Removes the id of a request that has ended. `start_permit` is its permit to start attempts; `None` if
+    /// the request was not received completely.
+    fn remove(&mut self, id: IdDigest, start_permit: Option<&StartPermit>) {
+        self.in_progress.remove(&id);
+        match start_permit.map(StartPermit::has_started) {
+            Some(true) => self.sent.insert(id, Instant::now()),
+            Some(false) => self.unsent.insert(id, Instant::now()),
+            None => {}
+        }
     }
 }
 
@@ -85,25 +113,22 @@
 pub(super) struct RequestIdGuard<'a> {
     ids: &'a RefCell<RegisteredIds>,
     id: IdDigest,
-    used: bool,
+    start_permit: Option<StartPermit>,
 }
 
 impl RequestIdGuard<'_> {
-    /// Marks the id as used: the request may be forwarded from now on. When the guard is dropped, the id
-    /// remains registered for some time. Otherwise, another request may have the id, for example if a client
-    /// repeats a request that was not received completely.
-    pub(super) fn mark_used(&mut self) {
-        self.used = true;
+    /// Marks the id as used: the request may be forwarded from now on, with this permit, which must be
+    /// revoked before the guard is dropped. When the guard is dropped, the id remains registered for some
+    /// time. Otherwise, another request may have the id, for example if a client repeats a request that was
+    /// not received completely.
+    pub(super) fn mark_used(&mut self, start_permit: StartPermit) {
+        self.start_permit = Some(start_permit);
     }
 }
 
 impl Drop for RequestIdGuard<'_> {
     fn drop(&mut self) {
-        let mut ids = self.ids.borrow_mut();
-        ids.in_progress.remove(&self.id);
-        if self.used {
-            ids.recent.insert(self.id, Instant::now());
-        }
+        self.ids.borrow_mut().remove(self.id, self.start_permit.as_ref());
     }
 }
 
--- a/src/gateway/platform_frontend/request_ids/recent_ids.rs
+++ b/src/gateway/platform_frontend/request_ids/recent_ids.rs
@@ -8,32 +8,35 @@
 /// Minimum time for which an id is remembered. It is longer than a client may take from one copy of a request
 /// to the next: according to the Terms of service, a client is answered within 6 s of connecting.
 pub(super) const MIN_RETENTION: Duration = Duration::from_secs(30);
-/// Maximum number of ids in a generation. Two generations of this size occupy about 2 MB. This suffices for
-/// three times the highest request rate in the Terms of service, 600 requests per second.
-pub(super) const MAX_GENERATION_LEN: usize = 56 * 1024;
 
 /// A set of ids, each of which is removed some time after it was last inserted.
 ///
 /// The set consists of two generations. Ids are inserted into the current generation. Once this has become
-/// [`MIN_RETENTION`] old or contains [`MAX_GENERATION_LEN`] ids, it becomes the previous generation, and the
+/// [`MIN_RETENTION`] old or contains the maximum number of ids, it becomes the previous generation, and the
 /// ids that were last inserted into the one before are removed. An id is therefore remembered for one to two
 /// retention times, or for a shorter time if very many ids are inserted.
 pub(super) struct RecentIds {
     current: FxHashSet<IdDigest>,
     previous: FxHashSet<IdDigest>,
     current_since: Instant,
+    max_generation_len: usize,
 }
 
 impl RecentIds {
-    /// Creates an empty set.
-    pub(super) fn new(now: Instant) -> Self {
-        RecentIds { current: FxHashSet::default(), previous: FxHashSet::default(), current_since: now }
+    /// Creates an empty set with this maximum number of ids in a generation.
+    pub(super) fn new(max_generation_len: usize, now: Instant) -> Self {
+        RecentIds {
+            current: FxHashSet::default(),
+            previous: FxHashSet::default(),
+            current_since: now,
+            max_generation_len,
+        }
     }
 
     /// Inserts an id, or renews it.
     pub(super) fn insert(&mut self, id: IdDigest, now: Instant) {
         self.remove_expired(now);
-        if self.current.len() >= MAX_GENERATION_LEN {
+        if self.current.len() >= self.max_generation_len {
             self.start_generation(now);
         }
         self.current.insert(id);
--- a/src/gateway/platform_frontend/request_ids/tests.rs
+++ b/src/gateway/platform_frontend/request_ids/tests.rs
@@ -1,5 +1,6 @@
-use super::recent_ids::{MAX_GENERATION_LEN, MIN_RETENTION, RecentIds};
-use super::{DuplicateId, IdDigest, RequestIds};
+use super::recent_ids::{MIN_RETENTION, RecentIds};
+use super::{DuplicateId, IdDigest, MAX_SENT_GENERATION_LEN, RequestIds};
+use crate::routing::StartPermit;
 use hyper::header::HeaderValue;
 use std::time::Duration;
 use tokio::time::{Instant, advance};
@@ -19,7 +20,7 @@
     let ids = RequestIds::new();
     let mut request = ids.register(&ID).unwrap();
     assert_eq!(ids.register(&ID).err(), Some(DuplicateId::InProgress));
-    request.mark_used();
+    request.mark_used(StartPermit::default());
     drop(request);
     for _ in 0..100 {
         assert_eq!(ids.register(&ID).err(), Some(DuplicateId::RecentlyUsed));
@@ -42,7 +43,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn used_ids_are_remembered_for_the_retention_time_and_then_removed() {
-    let mut ids = RecentIds::new(Instant::now());
+    let mut ids = RecentIds::new(MAX_SENT_GENERATION_LEN, Instant::now());
     let inserted_at = Instant::now() + MIN_RETENTION - Duration::from_millis(1);
     ids.insert(numbered_id(1), inserted_at);
     assert!(ids.contains(numbered_id(1), inserted_at + MIN_RETENTION));
@@ -54,10 +55,24 @@
 #[tokio::test(start_paused = true)]
 async fn the_number_of_remembered_ids_is_limited() {
     let now = Instant::now();
-    let mut ids = RecentIds::new(now);
-    for number in 0..3 * MAX_GENERATION_LEN {
+    let mut ids = RecentIds::new(MAX_SENT_GENERATION_LEN, now);
+    for number in 0..3 * MAX_SENT_GENERATION_LEN {
         ids.insert(numbered_id(number), now);
-        assert!(ids.len() <= 2 * MAX_GENERATION_LEN);
-        assert!(ids.contains(numbered_id(number.saturating_sub(MAX_GENERATION_LEN - 1)), now));
+        assert!(ids.len() <= 2 * MAX_SENT_GENERATION_LEN);
+        assert!(ids.contains(numbered_id(number.saturating_sub(MAX_SENT_GENERATION_LEN - 1)), now));
     }
 }
+
+/// A client whose requests are rejected at full speed made the gateway forget the ids of other requests,
+/// which then ran twice.
+#[tokio::test(start_paused = true)]
+async fn ids_of_rejected_requests_do_not_replace_those_that_were_sent() {
+    let ids = RequestIds::new();
+    let sent = StartPermit::default();
+    assert!(sent.try_start());
+    ids.register(&ID).unwrap().mark_used(sent);
+    for number in 0..3 * MAX_SENT_GENERATION_LEN {
+        ids.register(&HeaderValue::from(number)).unwrap().mark_used(StartPermit::default());
+    }
+    assert_eq!(ids.register(&ID).err(), Some(DuplicateId::RecentlyUsed));
+}
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -31,31 +31,42 @@
     pub deadline: Instant,
     /// Resolves when the attempt is cancelled, always with an error, because the sender is dropped.
     pub cancelled: oneshot::Receiver<()>,
-    /// Valid as long as the attempt may still start; must be checked before the request is sent.
+    /// Valid as long as the attempt may still start; must be taken before the request is sent.
     pub start_permit: StartPermit,
 }
 
 /// The permit to start attempts for a request. It is valid until the request has its final answer or its
 /// client has disconnected.
 ///
-/// The transport checks the permit once the connection for an attempt is established. Connecting may have
+/// The transport takes the permit once the connection for an attempt is established. Connecting may have
 /// taken long, and an attempt must not start if the client has disconnected meanwhile.
-#[derive(Clone, Debug)]
-pub struct StartPermit(Rc<Cell<bool>>);
+#[derive(Clone, Debug, Default)]
+pub struct StartPermit(Rc<PermitState>);
+
+#[derive(Debug, Default)]
+struct PermitState {
+    revoked: Cell<bool>,
+    started: Cell<bool>,
+}
 
 impl StartPermit {
-    pub(super) fn new() -> Self {
-        StartPermit(Rc::new(Cell::new(true)))
+    pub(super) fn revoke(&self) {
+        self.0.revoked.set(true);
     }
 
-    pub(super) fn revoke(&self) {
-        self.0.set(false);
+    /// Returns whether an attempt may start: the request has no final answer, and its client is still
+    /// connected. If so, records that an attempt has started.
+    pub fn try_start(&self) -> bool {
+        let may_start = !self.0.revoked.get();
+        if may_start {
+            self.0.started.set(true);
+        }
+        may_start
     }
 
-    /// Returns whether an attempt may still start: the request has no final answer, and its client is still
-    /// connected.
-    pub fn is_valid(&self) -> bool {
-        self.0.get()
+    /// Returns whether any attempt has started, so that a storage node may have run the request.
+    pub fn has_started(&self) -> bool {
+        self.0.started.get()
     }
 }
 
--- a/src/routing/handle.rs
+++ b/src/routing/handle.rs
@@ -2,7 +2,7 @@
 
 use super::pending::PendingAnswer;
 use super::router::Command;
-use super::{AttemptResult, FinalAnswer};
+use super::{AttemptResult, FinalAnswer, StartPermit};
 use crate::scheduler::{EndpointUpdate, IncomingRequest, RequestId};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -31,8 +31,10 @@
     pub fn submit(&self, incoming: IncomingRequest, payload: P) -> PendingAnswer<P, R> {
         let id = incoming.id;
         let (responder, answer) = oneshot::channel::<FinalAnswer<R>>();
-        self.send(Command::Submit { incoming, payload, responder });
-        PendingAnswer::new(id, answer, self.clone())
+        let start_permit = StartPermit::default();
+        let permit = start_permit.clone();
+        self.send(Command::Submit { incoming, payload, start_permit, responder });
+        PendingAnswer::new(id, answer, permit, self.clone())
     }
 
     /// Returns the id for a request that is about to be submitted. Ids wrap around after 2^32 requests, so
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -19,10 +19,22 @@
 
 /// A command sent by a [`RouterHandle`].
 pub(super) enum Command<P, R> {
-    Submit { incoming: IncomingRequest, payload: P, responder: oneshot::Sender<FinalAnswer<R>> },
+    Submit {
+        incoming: IncomingRequest,
+        payload: P,
+        start_permit: StartPermit,
+        responder: oneshot::Sender<FinalAnswer<R>>,
+    },
     ClientDisconnected(RequestId),
-    ResponseStarted { request: RequestId, response: R },
-    AttemptEnded { request: RequestId, attempt_index: u32, result: AttemptResult<R> },
+    ResponseStarted {
+        request: RequestId,
+        response: R,
+    },
+    AttemptEnded {
+        request: RequestId,
+        attempt_index: u32,
+        result: AttemptResult<R>,
+    },
     EndpointsUpdated(EndpointUpdate),
 }
 
@@ -143,8 +155,8 @@
     /// Handles a command and returns the event to pass to the scheduler, if any.
     fn handle_command(&mut self, command: Command<P, R>, now_us: u64) -> Option<Event> {
         match command {
-            Command::Submit { incoming, payload, responder } => {
-                Some(self.register(incoming, payload, responder))
+            Command::Submit { incoming, payload, start_permit, responder } => {
+                Some(self.register(incoming, payload, start_permit, responder))
             }
             Command::ClientDisconnected(request) => {
                 self.take_responder(request)?;
@@ -167,13 +179,14 @@
         &mut self,
         incoming: IncomingRequest,
         payload: P,
+        start_permit: StartPermit,
         responder: oneshot::Sender<FinalAnswer<R>>,
     ) -> Event {
         self.metrics.received.increment();
         let entry = RequestInProgress {
             payload: Rc::new(payload),
             responder: Some(responder),
-            start_permit: StartPermit::new(),
+            start_permit,
             expires_at_us: incoming.expires_at_us,
             attempts_started: 0,
             attempt: None,
