Reject requests with a stalled body while new connections wait to be accepted

Cause: a connection on which a body is being received could not be evicted, for up to 2.6 s.

Change: such connections are evicted like those with an incomplete head. Their requests are rejected, and the front end states when a body is complete, from when on its connection is kept.

--- a/src/gateway/object_frontend/mod.rs
+++ b/src/gateway/object_frontend/mod.rs
@@ -60,7 +60,7 @@
         let resource = request.uri().path().to_string();
         let result = match HealthStatus::for_path(&resource, &self.phase) {
             Some(health) => health_response(health),
-            None => self.serve(request, context.admission, &request_id).await,
+            None => self.serve(request, context, &request_id).await,
         };
         let mut response =
             result.unwrap_or_else(|rejection| rejection.into_response(head_only, &resource, &request_id));
@@ -79,10 +79,10 @@
     async fn serve(
         &self,
         request: Request<Incoming>,
-        admission: Admission,
+        context: RequestContext,
         request_id: &str,
     ) -> Result<Response<ResponseBody>, Rejection> {
-        if admission == Admission::Overloaded {
+        if context.admission == Admission::Overloaded {
             self.metrics.overload.increment();
             return Err(Rejection::overloaded());
         }
@@ -90,7 +90,15 @@
         let (head, body) = request.into_parts();
         let routed = self.route(head, received_at_us)?;
         let memory = self.reserve_memory(&routed.request)?;
-        let body = self.read_request_body(&routed.request, body).await?;
+        let body = tokio::select! {
+            biased;
+            body = self.read_request_body(&routed.request, body) => body?,
+            () = context.body.abandoned() => {
+                self.metrics.overload.increment();
+                return Err(Rejection::overloaded());
+            }
+        };
+        context.body.complete();
         let node_request = routed.node_request(body, request_id).map_err(|error| self.bad_request(error))?;
         let incoming = self.incoming_request(&routed, &node_request.body)?;
         let payload = ObjectPayload { request: node_request, _memory: memory.clone() };
--- a/src/gateway/platform_frontend/mod.rs
+++ b/src/gateway/platform_frontend/mod.rs
@@ -89,7 +89,12 @@
         let forwarded_head = ForwardedHead::copy_of(&head);
         drop(head);
         let read_deadline = context.started_at + REQUEST_READ_TIMEOUT;
-        let payload = self.receive_payload(forwarded_head, body, read_deadline).await?;
+        let payload = tokio::select! {
+            biased;
+            payload = self.receive_payload(forwarded_head, body, read_deadline) => payload?,
+            () = context.body.abandoned() => return Err(Rejection::Overloaded),
+        };
+        context.body.complete();
         let incoming = self.incoming_request(&parsed);
         let answer = self.router.submit(incoming, payload);
         id_guard.mark_used(answer.start_permit());
--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -1,12 +1,12 @@
 //! Serves the requests of one client connection until it is closed.
 
 use super::client_stream::{ClientStream, READ_BUFFER_LEN, ReadAhead};
-use super::connection_slot::{ConnectionSlot, StartedRequest};
+use super::connection_slot::{BodyReception, ConnectionSlot, StartedRequest};
 use super::connection_table::ConnectionTable;
 use super::lifecycle::LifecyclePhase;
 use super::socket::SharedSocket;
 use super::{GuardedBody, ResponseBody};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
@@ -39,7 +39,7 @@
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Properties of a request that its connection determines.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct RequestContext {
     /// Whether the request is served or is rejected because too many connections are open.
     pub admission: Admission,
@@ -51,6 +51,8 @@
     pub started_at: Instant,
     /// Whether the request has both `Transfer-Encoding` and `Content-Length`.
     pub conflicting_length: bool,
+    /// The reception of the body.
+    pub body: BodyReception,
 }
 
 /// Whether a request is served or is rejected because too many connections are open.
@@ -126,12 +128,13 @@
         &self,
         request: Request<Incoming>,
     ) -> Pin<Box<impl Future<Output = Result<Response<ResponseBody>, Infallible>> + use<'_, S, F>>> {
-        let StartedRequest { started_at, guard } = self.slot.start_request();
+        let StartedRequest { started_at, guard } = self.slot.start_request(!request.body().is_end_stream());
         let admission =
             if self.table.try_admit(&self.slot) { Admission::Admitted } else { Admission::Overloaded };
         let has_transfer_encoding = request.headers().contains_key(TRANSFER_ENCODING);
         let conflicting_length = has_transfer_encoding && self.read_ahead.conflicting_length();
-        let context = RequestContext { admission, started_at, conflicting_length };
+        let body = BodyReception::new(self.slot.clone());
+        let context = RequestContext { admission, started_at, conflicting_length, body };
         let is_first = !self.has_started_request.replace(true);
         Box::pin(async move {
             if !is_first {
--- a/src/transport/connection_slot.rs
+++ b/src/transport/connection_slot.rs
@@ -14,6 +14,8 @@
 /// its first request. The platform requires that a client that stops within its first request receives an
 /// error or is disconnected within 3 s of connecting, however long it was silent before.
 const MAX_INITIAL_SILENCE: Duration = Duration::from_millis(200);
+/// Maximum time in which a request whose body has been abandoned is rejected. The connection is then closed.
+const ABANDONED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Duration after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -24,6 +26,11 @@
     AwaitingFirstByte,
     /// The head of a request has been received in part.
     ReadingHead,
+    /// The head of a request has been received, and its body in part.
+    ReadingBody,
+    /// The rest of the body is no longer awaited, because the connection is needed. The request is about to
+    /// be rejected.
+    AbandonedBody,
     /// A request is in progress; its response has not been written completely.
     ServingRequest,
     /// A response has been written, and the next request has not begun.
@@ -39,8 +46,7 @@
 pub(super) struct SlotStatus {
     pub(super) state: ConnectionState,
     pub(super) since: Instant,
-    /// The time at which bytes were last received while no request was in progress, or at which the state
-    /// began if that is later.
+    /// The time at which bytes of a request were last received, or at which the state began if that is later.
     pub(super) last_progress_at: Instant,
 }
 
@@ -74,6 +80,8 @@
     has_partial_head: AtomicBool,
     /// Notified when the connection may have to be closed earlier than its previous state required.
     changed: Notify,
+    /// Notified when the body of the request in progress is abandoned.
+    body_abandoned: Notify,
 }
 
 /// A request whose head has just been received.
@@ -94,6 +102,7 @@
             evicted: AtomicBool::new(false),
             has_partial_head: AtomicBool::new(false),
             changed: Notify::new(),
+            body_abandoned: Notify::new(),
         }
     }
 
@@ -145,8 +154,13 @@
         match state {
             ConnectionState::AwaitingFirstByte => self.start_head(now.min(since + MAX_INITIAL_SILENCE)),
             ConnectionState::Idle => self.start_head(now),
-            ConnectionState::ReadingHead => self.lock_status().last_progress_at = now,
-            ConnectionState::ServingRequest | ConnectionState::Lingering | ConnectionState::Evicted => {}
+            ConnectionState::ReadingHead | ConnectionState::ReadingBody => {
+                self.lock_status().last_progress_at = now;
+            }
+            ConnectionState::AbandonedBody
+            | ConnectionState::ServingRequest
+            | ConnectionState::Lingering
+            | ConnectionState::Evicted => {}
         }
     }
 
@@ -164,10 +178,14 @@
         });
     }
 
-    /// Records that the head of a request is complete and the request is now in progress.
-    pub(super) fn start_request(self: &Arc<Self>) -> StartedRequest {
+    /// Records that the head of a request is complete and the request is now in progress. `has_body` states
+    /// whether a body follows.
+    pub(super) fn start_request(self: &Arc<Self>, has_body: bool) -> StartedRequest {
         let previous = self.status();
-        self.set_state(ConnectionState::ServingRequest);
+        self.set_state(match has_body {
+            true => ConnectionState::ReadingBody,
+            false => ConnectionState::ServingRequest,
+        });
         let started_at = match previous.state {
             ConnectionState::ReadingHead => previous.since,
             _ => Instant::now(),
@@ -182,7 +200,24 @@
 
     /// Returns whether a request is in progress.
     pub(super) fn is_serving_request(&self) -> bool {
-        self.state() == ConnectionState::ServingRequest
+        matches!(
+            self.state(),
+            ConnectionState::ReadingBody | ConnectionState::AbandonedBody | ConnectionState::ServingRequest
+        )
+    }
+
+    /// Records that the body of the request in progress has been received completely.
+    fn end_body(&self) {
+        if matches!(self.state(), ConnectionState::ReadingBody | ConnectionState::AbandonedBody) {
+            self.set_state(ConnectionState::ServingRequest);
+        }
+    }
+
+    /// Resolves once the body of the request in progress has been abandoned.
+    async fn body_abandoned(&self) {
+        while self.state() != ConnectionState::AbandonedBody {
+            self.body_abandoned.notified().await;
+        }
     }
 
     /// Records that the last response has been written. The connection no longer counts towards the serving
@@ -192,9 +227,14 @@
     }
 
     /// Causes [`must_close`](Self::must_close) and [`evicted`](Self::evicted) to resolve, unless a request is
-    /// in progress by then.
+    /// in progress by then. If the body of a request is being received, abandons it instead.
     pub(super) fn evict(&self) {
-        self.evicted.store(true, Ordering::Relaxed);
+        if self.state() == ConnectionState::ReadingBody {
+            self.set_state(ConnectionState::AbandonedBody);
+            self.body_abandoned.notify_one();
+        } else {
+            self.evicted.store(true, Ordering::Relaxed);
+        }
         self.changed.notify_one();
     }
 
@@ -219,8 +259,11 @@
             let deadline = match state {
                 ConnectionState::AwaitingFirstByte | ConnectionState::ReadingHead => since + HEAD_TIMEOUT,
                 ConnectionState::Idle => since + IDLE_TIMEOUT,
+                ConnectionState::AbandonedBody => since + ABANDONED_BODY_TIMEOUT,
                 // A request has its own deadline. This is only the time of the next check.
-                ConnectionState::ServingRequest => Instant::now() + HEAD_TIMEOUT,
+                ConnectionState::ReadingBody | ConnectionState::ServingRequest => {
+                    Instant::now() + HEAD_TIMEOUT
+                }
                 ConnectionState::Lingering | ConnectionState::Evicted => return,
             };
             if deadline <= Instant::now() {
@@ -234,6 +277,27 @@
     }
 }
 
+/// The reception of the body of a request in progress.
+#[derive(Clone)]
+pub struct BodyReception(Arc<ConnectionSlot>);
+
+impl BodyReception {
+    pub(super) fn new(slot: Arc<ConnectionSlot>) -> Self {
+        BodyReception(slot)
+    }
+
+    /// Records that the body has been received completely. Until then, the connection may be taken from a
+    /// client that stops sending.
+    pub fn complete(&self) {
+        self.0.end_body();
+    }
+
+    /// Resolves once the connection is needed for other clients. The request must then be rejected at once.
+    pub async fn abandoned(&self) {
+        self.0.body_abandoned().await;
+    }
+}
+
 /// Keeps a connection in the state of serving a request until the guard is dropped.
 pub(super) struct RequestGuard(Arc<ConnectionSlot>);
 
--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -11,12 +11,12 @@
 /// Duration from the first byte of a request head after which the connection can be evicted if the head is
 /// still incomplete.
 const MIN_HEAD_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(1);
-/// Duration without a further byte after which a connection with an incomplete head can be evicted even
-/// earlier, if the connections that can be evicted otherwise do not suffice.
-const MIN_HEAD_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(50);
-/// Like [`MIN_HEAD_STALL_BEFORE_EVICTION`], but measured from the first byte of the head, for clients that
+/// Duration without a further byte after which a connection with an incomplete request can be evicted, if the
+/// connections that can be evicted otherwise do not suffice.
+const MIN_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(50);
+/// Like [`MIN_STALL_BEFORE_EVICTION`], but measured from the first byte of the head, for clients that
 /// keep sending parts of it.
-const MIN_SLOW_HEAD_TIME_BEFORE_EVICTION: Duration = Duration::from_millis(250);
+const MIN_SLOW_TIME_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 /// Duration after which an idle connection can be evicted.
 const MIN_IDLE_TIME_BEFORE_EVICTION: Duration = Duration::from_secs(2);
 /// Duration after which a lingering connection can be evicted. Until then, its client can still read the last
@@ -89,12 +89,12 @@
     /// Returns whether no more connections can be accepted, even once the evicted ones are closed.
     fn is_full_after_evictions(&self) -> bool {
         self.slots.borrow().len() >= self.limits.max_open()
-            && self.count(|state| state != ConnectionState::Evicted) >= self.limits.max_open()
+            && self.count(|state| !is_leaving(state)) >= self.limits.max_open()
     }
 
     /// Returns the number of connections that have served a request, or may still do so.
     fn serving_count(&self) -> usize {
-        self.count(|state| !matches!(state, ConnectionState::Lingering | ConnectionState::Evicted))
+        self.count(|state| state != ConnectionState::Lingering && !is_leaving(state))
     }
 
     fn count(&self, matches: impl Fn(ConnectionState) -> bool) -> usize {
@@ -112,7 +112,7 @@
     /// the serving limit still does not allow one more connection, evicts the longest idle connections until
     /// it does, except those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`]. As long as
     /// this does not suffice, it evicts connections whose head has stalled, see
-    /// [`Self::evict_stalled_heads`].
+    /// [`Self::evict_stalled_requests`].
     pub(super) fn evict_stale(&self) {
         if !self.is_limit_reached() {
             return;
@@ -129,28 +129,27 @@
                     || status.has_been(ConnectionState::ReadingHead, MIN_HEAD_TIME_BEFORE_EVICTION, now)
             });
             self.evict_longest_idle(now);
-            self.evict_stalled_heads(now);
+            self.evict_stalled_requests(now);
         }
     }
 
-    /// Evicts connections with an incomplete head that has stalled for at least
-    /// [`MIN_HEAD_STALL_BEFORE_EVICTION`], or that began at least [`MIN_SLOW_HEAD_TIME_BEFORE_EVICTION`] ago.
+    /// Evicts connections with an incomplete request that has stalled for at least
+    /// [`MIN_STALL_BEFORE_EVICTION`], or that began at least [`MIN_SLOW_TIME_BEFORE_EVICTION`] ago.
     /// Those whose last byte is the oldest are evicted first: as many as the serving limit requires, or, if
     /// no more connections can be accepted, as many as may be rejected at the same time.
     ///
     /// Otherwise, connections in the accept queue would wait for as long as each filling of the table with
-    /// incomplete heads lasts.
-    fn evict_stalled_heads(&self, now: Instant) {
+    /// incomplete requests lasts. The requests with an incomplete body are rejected.
+    fn evict_stalled_requests(&self, now: Instant) {
         let full = self.is_full_after_evictions();
         let needed = if full { self.limits.max_rejected.max(1) } else { 0 };
         self.evict_longest(
             needed.max(self.excess_of_serving_limit()),
             |status| {
                 let stalled_for = now.saturating_duration_since(status.last_progress_at);
-                let slow_head = MIN_SLOW_HEAD_TIME_BEFORE_EVICTION;
-                status.state == ConnectionState::ReadingHead
-                    && (stalled_for >= MIN_HEAD_STALL_BEFORE_EVICTION
-                        || status.has_been(ConnectionState::ReadingHead, slow_head, now))
+                let slow = MIN_SLOW_TIME_BEFORE_EVICTION;
+                matches!(status.state, ConnectionState::ReadingHead | ConnectionState::ReadingBody)
+                    && (stalled_for >= MIN_STALL_BEFORE_EVICTION || status.has_been(status.state, slow, now))
             },
             |status| status.last_progress_at,
         );
@@ -191,3 +190,8 @@
         slots.iter().filter(|slot| is_evictable(slot.status())).for_each(|slot| slot.evict());
     }
 }
+
+/// Returns whether a connection in this state is about to be closed.
+fn is_leaving(state: ConnectionState) -> bool {
+    matches!(state, ConnectionState::AbandonedBody | ConnectionState::Evicted)
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -34,6 +34,7 @@
 pub use body::{GuardedBody, ResponseBody, full_body};
 pub use client_connection::{Admission, RequestContext};
 pub use connection_pool::{ConnectionPool, PoolLimits};
+pub use connection_slot::BodyReception;
 pub use connection_table::ConnectionLimits;
 pub use exchange::{Exchange, ExchangeEvent, ExchangeFailure, ResponseMemory, StreamedBody, StreamingRule};
 pub use lifecycle::LifecyclePhase;
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -169,6 +169,27 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Clients that stopped within a body occupied their connections for over two seconds, while requests on new
+/// connections waited to be accepted.
+#[tokio::test]
+async fn incomplete_bodies_do_not_keep_new_clients_waiting() {
+    let test = async {
+        let server = Server::start().await;
+        for _ in 0..4 * MAX_OPEN {
+            let mut client = server.connect().await;
+            spawn_local(async move {
+                client.write_all(STOPPED_BODY).await.unwrap();
+                let _ = client.read_to_end(&mut Vec::new()).await;
+            });
+        }
+        sleep(HEAD_INTERVAL).await;
+        let response = timeout(ANSWER_TIMEOUT, send_request(&server)).await;
+        let response = response.expect("no answer beside incomplete bodies");
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A usual client whose head arrives in pieces is not evicted for those that have stopped within theirs.
 #[tokio::test]
 async fn a_head_that_arrives_in_pieces_is_served_beside_stalled_heads() {
