Drop expired times of the retry budget from the front of their queues

Cause: each check of the budget went through the times of all requests in the retry window, so that a flood of requests made each possible retry slower. The times increase, so the expired ones are at the front. Decisions are unchanged; no timing was measured.

--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -31,9 +31,7 @@
     /// Records that a request is received.
     pub(super) fn record_request(&mut self, now_us: u64) {
         let Some(budget) = self.budget else { return };
-        while self.request_times_us.front().is_some_and(|at_us| at_us + budget.window_us <= now_us) {
-            self.request_times_us.pop_front();
-        }
+        drop_before(&mut self.request_times_us, (now_us + 1).saturating_sub(budget.window_us));
         self.request_times_us.push_back(now_us);
     }
 
@@ -49,13 +47,20 @@
         let Some(budget) = self.budget else { return true };
         // A request received exactly one retry window ago no longer counts; a retry sent at that time still
         // does.
-        self.request_times_us.retain(|at_us| at_us + budget.window_us > now_us);
-        self.retry_times_us.retain(|at_us| at_us + budget.window_us >= now_us);
+        drop_before(&mut self.request_times_us, (now_us + 1).saturating_sub(budget.window_us));
+        drop_before(&mut self.retry_times_us, now_us.saturating_sub(budget.window_us));
         let allowed = budget.burst + budget.ratio * self.request_times_us.len() as f64;
         self.retry_times_us.len() as f64 + 1.0 <= allowed
     }
 }
 
+/// Removes the times before `start_us` from a queue of increasing times.
+fn drop_before(times_us: &mut VecDeque<u64>, start_us: u64) {
+    while times_us.front().is_some_and(|at_us| *at_us < start_us) {
+        times_us.pop_front();
+    }
+}
+
 /// The unfinished requests for one block, in order of arrival.
 #[derive(Default)]
 struct BlockQueue {
