Watch discovery from the start if lists are pushed

Cause: the first poll was scheduled only if lists have to be requested, but on sockets a watch is the only way to receive them.

Change: if lists are pushed, the gateway opens a watch at its start, and reopens it soon after a failure.

--- a/src/gateway/discovery/mod.rs
+++ b/src/gateway/discovery/mod.rs
@@ -123,6 +123,10 @@
 pub struct EndpointWatcher<P, R> {
     /// Where discovery is, which a reload of the configuration may change.
     pub discovery: watch::Receiver<DiscoveryTarget>,
+    /// Whether lists are pushed to the gateway's machine. What has been pushed counts as announced, so that a
+    /// watch is opened at once and a failed one reopened as soon as possible. Otherwise, the scheduler
+    /// decides when to poll first.
+    pub lists_are_pushed: bool,
     /// Times for which watches wait for changes.
     pub watch_waits: WatchWaits,
     /// The endpoint list known before the gateway started, which discovery has not confirmed. `None` if there
@@ -147,10 +151,13 @@
     pub async fn run(self, mut watch_commands: mpsc::UnboundedReceiver<()>) {
         let mut received = ReceivedList { version: self.publish_cached_list(), received_at: None };
         let mut reloads = self.discovery.clone();
+        let mut polls_at_once = self.lists_are_pushed;
         loop {
-            tokio::select! {
-                command = watch_commands.recv() => if command.is_none() { return },
-                Ok(()) = reloads.changed() => {}
+            if !std::mem::take(&mut polls_at_once) {
+                tokio::select! {
+                    command = watch_commands.recv() => if command.is_none() { return },
+                    Ok(()) = reloads.changed() => {}
+                }
             }
             let failed = self.watch_until_failure(&mut received, &mut reloads).await;
             // Discards commands from the router that arrived while polling. Each would start another poll at
@@ -162,7 +169,8 @@
 
     /// Reports a poll that has just failed to the scheduler.
     fn report_failure(&self, failed: PollAttempt) {
-        let announced_at = failed.missed_changes_announced_at(Instant::now());
+        let now = Instant::now();
+        let announced_at = if self.lists_are_pushed { now } else { failed.missed_changes_announced_at(now) };
         let announced_by_us = Some(self.clock.us_at(announced_at));
         self.router.endpoints_updated(EndpointUpdate::PollFailed { announced_by_us });
     }
--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -35,6 +35,7 @@
     let nodes = NodeRegistry::new(pool_limits, config.zone_names);
     let overload_retry_after_us = config.settings.max_retry_after_us;
     let watch_waits = WatchWaits::new(config.settings.gateway_index, config.settings.gateway_count);
+    let lists_are_pushed = !config.settings.endpoints_on_request;
     let settings = SchedulerSettings { max_tracked_volumes: Some(memory.volumes), ..config.settings };
     let (router_actor, router) = RequestRouter::new(settings, config.seed, clock, metrics.requests.clone());
     let (watch_commands, watch_command_receiver) = mpsc::unbounded_channel();
@@ -42,6 +43,7 @@
         watch::channel(DiscoveryTarget { address: config.discovery, reloaded_at: None });
     let watcher = EndpointWatcher {
         discovery,
+        lists_are_pushed,
         watch_waits,
         cached_list: config.cached_list,
         nodes: nodes.clone(),
--- a/tests/discovery_polls.rs
+++ b/tests/discovery_polls.rs
@@ -1,8 +1,9 @@
-//! Tests how soon gateways learn what discovery has to tell after a reload of their configuration.
+//! Tests how soon gateways learn what discovery has to tell.
 
 mod load;
 
 use load::{FleetPosition, Gateway, TIGHT_LIMITS, read_message, start_node};
+use serde_json::json;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const FLEET: usize = 300;
 /// The number of gateways that run. Their time slots for polls are spread evenly over those of the fleet.
@@ -82,3 +83,27 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// With pushed lists, what discovery has to tell counts as told at once, but the gateway never called
+/// discovery.
+#[tokio::test]
+async fn pushed_lists_are_watched_from_the_start_and_after_a_failure() {
+    /// Less than [`DRAIN_GRACE`], for the time that the call and the connection to a node may take.
+    const CALL_TIMEOUT: Duration = Duration::from_millis(750);
+    let test = async {
+        let (node, _) = start_node(b"").await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let discovery = listener.local_addr().unwrap().to_string();
+        let _gateway = Gateway::start_with("discovery_pushed", TIGHT_LIMITS, node, |configuration| {
+            configuration["settings"]["discovery"] = json!("pushed");
+            configuration["discovery"] = json!(discovery);
+        });
+        for call in ["first", "second", "third", "fourth"] {
+            let accepted = timeout(CALL_TIMEOUT, listener.accept()).await;
+            let (mut stream, _) = accepted.unwrap_or_else(|_| panic!("no {call} call")).unwrap();
+            let request = read_message(&mut stream).await.expect("a call");
+            assert!(request.starts_with("GET /registry/instances?after=41&wait_ms="), "{request}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/tests/load/mod.rs
+++ b/tests/load/mod.rs
@@ -58,9 +58,17 @@
         Gateway::start_in_fleet(name, limits, node, FleetPosition { gateway_count: 1, gateway_index: 0 })
     }
 
-    /// Starts a gateway whose cached endpoint list contains one storage node, and whose discovery is down.
-    /// `name` must be unique among the tests.
+    /// Starts a gateway in this position of its fleet; see [`start_with`](Self::start_with).
     pub fn start_in_fleet(name: &str, limits: Limits, node: SocketAddr, position: FleetPosition) -> Self {
+        Gateway::start_with(name, limits, node, |configuration| {
+            configuration["settings"]["balancers"] = json!(position.gateway_count);
+            configuration["settings"]["index"] = json!(position.gateway_index);
+        })
+    }
+
+    /// Starts a gateway whose cached endpoint list contains one storage node, and whose discovery is down
+    /// unless `edit` changes this in the configuration. `name` must be unique among the tests.
+    pub fn start_with(name: &str, limits: Limits, node: SocketAddr, edit: impl FnOnce(&mut Value)) -> Self {
         let mut configuration: Value =
             serde_json::from_str(&std::fs::read_to_string(CONFIGURATION).unwrap()).unwrap();
         let endpoints = configuration["known"]["endpoints"].as_array_mut().unwrap();
@@ -68,9 +76,8 @@
         endpoints[0]["address"] = json!(node.to_string());
         configuration["limits"]["memory_mb"] = json!(limits.memory_mb);
         configuration["limits"]["sockets"] = json!(limits.descriptors);
-        configuration["settings"]["balancers"] = json!(position.gateway_count);
-        configuration["settings"]["index"] = json!(position.gateway_index);
         configuration["discovery"] = json!("127.0.0.1:1");
+        edit(&mut configuration);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let configuration_file = folder.join("config.json");
