--- a/tests/memory_limits.rs
+++ b/tests/memory_limits.rs
@@ -6,6 +6,7 @@
     Gateway, LEAST_MEMORY_MB, Limits, TIGHT_LIMITS, read_head, send_until_closed, start_hanging_node,
     start_node, write_head,
 };
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::{JoinSet, LocalSet};
 
@@ -49,6 +50,14 @@
     clients.join_all().await;
 }
 
+/// Starts a gateway with the tightest limits and lets all clients send their bytes. `name` must be unique among
+/// the tests.
+async fn assert_clients_stay_within_memory(name: &str, node: SocketAddr, bytes: impl Fn(usize) -> Vec<u8>) {
+    let gateway = Gateway::start(&format!("memory_{name}"), TIGHT_LIMITS, node);
+    send_from_all_clients(&gateway, bytes).await;
+    assert_memory_within_limit(&gateway, name);
+}
+
 fn assert_memory_within_limit(gateway: &Gateway, clients: &str) {
     let peak = gateway.peak_memory_mb();
     assert!(peak <= LEAST_MEMORY_MB, "{clients}: the gateway used {peak} MB of memory");
@@ -58,14 +67,12 @@
 #[tokio::test]
 async fn clients_that_stop_within_a_request_do_not_exceed_the_memory() {
     let test = async {
-        let gateway = Gateway::start("memory_stopped", TIGHT_LIMITS, start_hanging_node().await);
-        send_from_all_clients(&gateway, |number| {
+        assert_clients_stay_within_memory("bodies_that_stop", start_hanging_node().await, |number| {
             let head = write_head(&format!("{number:016x}"));
             let body = vec![b'x'; MAX_BODY_LEN - 1];
             [format!("{head}Content-Length: {MAX_BODY_LEN}\r\n\r\n").into_bytes(), body].concat()
         })
         .await;
-        assert_memory_within_limit(&gateway, "bodies that stop");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -74,14 +81,12 @@
 #[tokio::test]
 async fn complete_large_requests_do_not_exceed_the_memory() {
     let test = async {
-        let gateway = Gateway::start("memory_complete", TIGHT_LIMITS, start_hanging_node().await);
-        send_from_all_clients(&gateway, |number| {
+        assert_clients_stay_within_memory("complete_bodies", start_hanging_node().await, |number| {
             let head = write_head(&format!("{number:016x}"));
             let body = vec![b'x'; MAX_BODY_LEN];
             [format!("{head}Content-Length: {MAX_BODY_LEN}\r\n\r\n").into_bytes(), body].concat()
         })
         .await;
-        assert_memory_within_limit(&gateway, "complete bodies");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -91,19 +96,15 @@
 async fn heads_of_many_short_fields_do_not_exceed_the_memory() {
     let test = async {
         let fields: String = (0..88).map(|number| format!("a{number}:\r\n")).collect();
-        let gateway = Gateway::start("memory_fields", TIGHT_LIMITS, start_hanging_node().await);
-        send_from_all_clients(&gateway, |number| {
+        assert_clients_stay_within_memory("complete_heads", start_hanging_node().await, |number| {
             format!("{}{fields}\r\n", read_head(&format!("{number:016x}"))).into_bytes()
         })
         .await;
-        assert_memory_within_limit(&gateway, "complete heads");
         let fields: String = (0..2500).map(|_| "a:\r\n").collect();
-        let gateway = Gateway::start("memory_fields", TIGHT_LIMITS, start_hanging_node().await);
-        send_from_all_clients(&gateway, |number| {
+        assert_clients_stay_within_memory("incomplete_heads", start_hanging_node().await, |number| {
             format!("{}{fields}", read_head(&format!("{number:016x}"))).into_bytes()
         })
         .await;
-        assert_memory_within_limit(&gateway, "incomplete heads");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -112,13 +113,11 @@
 #[tokio::test]
 async fn pipelined_requests_do_not_exceed_the_memory() {
     let test = async {
-        let gateway = Gateway::start("memory_pipelined", TIGHT_LIMITS, start_hanging_node().await);
-        send_from_all_clients(&gateway, |number| {
+        assert_clients_stay_within_memory("pipelined_requests", start_hanging_node().await, |number| {
             let request = format!("{}\r\n", read_head(&format!("{number:016x}")));
             request.repeat(400).into_bytes()
         })
         .await;
-        assert_memory_within_limit(&gateway, "pipelined requests");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -129,15 +128,13 @@
     let test = async {
         let response: &'static [u8] = vec![b'x'; MAX_BODY_LEN].leak();
         let (node, _) = start_node(response).await;
-        let gateway = Gateway::start("memory_responses", TIGHT_LIMITS, node);
-        send_from_all_clients(&gateway, |number| {
+        assert_clients_stay_within_memory("large_responses", node, |number| {
             (0..20)
                 .map(|part| format!("{}\r\n", read_head(&format!("{:016x}", number * 100 + part))))
                 .collect::<String>()
                 .into_bytes()
         })
         .await;
-        assert_memory_within_limit(&gateway, "large responses");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -146,9 +143,10 @@
 #[tokio::test]
 async fn clients_that_keep_sending_after_an_error_do_not_exceed_the_memory() {
     let test = async {
-        let gateway = Gateway::start("memory_lingering", TIGHT_LIMITS, start_hanging_node().await);
-        send_from_all_clients(&gateway, |_| b"not a request \r\n".repeat(100_000)).await;
-        assert_memory_within_limit(&gateway, "clients after an error");
+        assert_clients_stay_within_memory("clients_after_an_error", start_hanging_node().await, |_| {
+            b"not a request \r\n".repeat(100_000)
+        })
+        .await;
     };
     LocalSet::new().run_until(test).await;
 }
