--- a/src/gateway/descriptors.rs
+++ b/src/gateway/descriptors.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Semaphore;
 
 /// Number of descriptors reserved for the listeners, the connection to discovery and the async runtime.
-const RESERVED_DESCRIPTORS: usize = 32;
+pub const RESERVED_DESCRIPTORS: usize = 32;
 /// Minimum number of descriptors to divide, even if the configured limit is lower.
 const MIN_DIVIDED_DESCRIPTORS: usize = 16;
 /// Fraction of the descriptors that is used for connections to storage nodes. Clients rarely use more than a
--- a/src/gateway/node_transport.rs
+++ b/src/gateway/node_transport.rs
@@ -150,7 +150,7 @@
         ExchangeFailure::ConnectionReset => AttemptOutcome::ConnectionReset,
         // The node responded, so the outcome must not count against its health: only this response and its
         // connection are unusable.
-        ExchangeFailure::InvalidResponse => AttemptOutcome::Failed,
+        ExchangeFailure::InvalidResponse | ExchangeFailure::ResponseMemoryExhausted => AttemptOutcome::Failed,
         ExchangeFailure::TimedOut => AttemptOutcome::TimedOut,
         ExchangeFailure::Cancelled => AttemptOutcome::Cancelled,
     }
--- a/src/gateway/startup/platform_gateway.rs
+++ b/src/gateway/startup/platform_gateway.rs
@@ -5,7 +5,7 @@
 use crate::gateway::descriptors::{ConnectionBudget, NodeConnectionTimeouts, divide_descriptors};
 use crate::gateway::discovery::{DiscoveryTarget, EndpointWatcher, WatchWaits};
 use crate::gateway::error::RunError;
-use crate::gateway::memory::divide_memory;
+use crate::gateway::memory::{descriptors_within, divide_memory};
 use crate::gateway::node_registry::NodeRegistry;
 use crate::gateway::platform_frontend::{PlatformFrontend, PlatformTransport, RequestIds, RequestMemory};
 use crate::gateway::reload::reload_discovery_address;
@@ -85,5 +85,5 @@
         connect: Duration::from_micros(connect_timeout_us),
         node_idle: config.node_idle_timeout,
     };
-    divide_descriptors(config.descriptors, timeouts)
+    divide_descriptors(descriptors_within(config.memory, config.descriptors), timeouts)
 }
--- a/src/transport/exchange/mod.rs
+++ b/src/transport/exchange/mod.rs
@@ -99,6 +99,9 @@
     /// stalls is a [`TimedOut`](Self::TimedOut) instead. The node has responded and may have run the request;
     /// only this connection is unusable.
     InvalidResponse,
+    /// The response has begun, but there was no memory for its body before the deadline. The node has responded
+    /// and may have run the request.
+    ResponseMemoryExhausted,
     /// The request was written completely, but no complete response arrived before the deadline, or a
     /// streamed body stalled.
     TimedOut,
--- a/src/transport/exchange/runner.rs
+++ b/src/transport/exchange/runner.rs
@@ -148,7 +148,7 @@
     tokio::select! {
         biased;
         reservation = memory.reserve(len) => Ok(reservation),
-        () = tokio::time::sleep_until(exchange.deadline) => Err(ExchangeFailure::TimedOut),
+        () = tokio::time::sleep_until(exchange.deadline) => Err(ExchangeFailure::ResponseMemoryExhausted),
         _ = &mut exchange.cancelled => Err(ExchangeFailure::Cancelled),
     }
 }
--- a/tests/memory_limits.rs
+++ b/tests/memory_limits.rs
@@ -4,7 +4,7 @@
 
 use load::{
     Gateway, LEAST_MEMORY_MB, Limits, TIGHT_LIMITS, read_head, send_until_closed, start_hanging_node,
-    start_node, write_head,
+    start_node, start_slow_node, write_head,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -178,3 +178,23 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Every connection holds as much as it may without a reservation, and the budgets are used up besides.
+#[tokio::test]
+async fn connections_that_hold_all_they_may_do_not_exceed_the_memory() {
+    const LONG_VALUE: usize = 13_000;
+    const SHORT_BODY_LEN: usize = 3_500;
+    let test = async {
+        let response: &'static [u8] = vec![b'x'; MAX_BODY_LEN].leak();
+        let (node, _) = start_slow_node(response, Duration::from_millis(300)).await;
+        assert_clients_stay_within_memory("full_connections", node, |number| {
+            let head = write_head(&format!("{:016x}", number * 100));
+            let (long_value, next) = ("v".repeat(LONG_VALUE), read_head("ff00").repeat(30));
+            let body_len = if number % 3 == 0 { MAX_BODY_LEN } else { SHORT_BODY_LEN };
+            let head = format!("{head}X-Long: {long_value}\r\nContent-Length: {body_len}\r\n\r\n");
+            [head.into_bytes(), vec![b'x'; body_len], next.into_bytes()].concat()
+        })
+        .await;
+    };
+    LocalSet::new().run_until(test).await;
+}
