Give up stalled requests only if another request needs their connection

Callers would have seen: at the serving limit, requests that arrive slowly were closed or rejected, although no other client was waiting.

Change: a full table evicts them, at most half of its connections at once, and otherwise a request that would be rejected because of the serving limit, as many as it needs.

--- a/src/transport/connection_table.rs
+++ b/src/transport/connection_table.rs
@@ -67,9 +67,14 @@
         self.slots.borrow_mut().retain(|other| other.id() != slot.id());
     }
 
-    /// Admits the connection if the number of serving connections is within the serving limit. Returns
+    /// Admits the connection if the number of serving connections is within the serving limit, or can be
+    /// brought within it by giving up requests that have stalled. Returns
     /// whether the connection is admitted, now or by an earlier call, so that its requests are served.
     pub(super) fn try_admit(&self, slot: &ConnectionSlot) -> bool {
+        if !slot.is_admitted() {
+            let excess = self.serving_count().saturating_sub(self.limits.max_served);
+            self.evict_stalled_requests(excess, Instant::now());
+        }
         if self.serving_count() <= self.limits.max_served {
             slot.admit();
         }
@@ -110,9 +115,9 @@
     /// accepted at least [`MIN_SILENCE_BEFORE_EVICTION`] ago and has not received a byte, and every
     /// connection whose request head has been incomplete for at least [`MIN_HEAD_TIME_BEFORE_EVICTION`]. If
     /// the serving limit still does not allow one more connection, evicts the longest idle connections until
-    /// it does, except those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`]. As long as
-    /// this does not suffice, it evicts connections whose head has stalled, see
-    /// [`Self::evict_stalled_requests`].
+    /// it does, except those that have been idle for less than [`MIN_IDLE_TIME_BEFORE_EVICTION`]. If no more
+    /// connections can be accepted even then, evicts connections whose request has stalled, at most half of
+    /// all.
     pub(super) fn evict_stale(&self) {
         if !self.is_limit_reached() {
             return;
@@ -129,22 +134,20 @@
                     || status.has_been(ConnectionState::ReadingHead, MIN_HEAD_TIME_BEFORE_EVICTION, now)
             });
             self.evict_longest_idle(now);
-            self.evict_stalled_requests(now);
+        }
+        if self.is_full_after_evictions() {
+            self.evict_stalled_requests(self.limits.max_open().div_ceil(2), now);
         }
     }
 
-    /// Evicts connections with an incomplete request that has stalled for at least
-    /// [`MIN_STALL_BEFORE_EVICTION`], or that began at least [`MIN_SLOW_TIME_BEFORE_EVICTION`] ago.
-    /// Those whose last byte is the oldest are evicted first: as many as the serving limit requires, or, if
-    /// no more connections can be accepted, as many as may be rejected at the same time.
+    /// Evicts at most `count` connections with an incomplete request that has stalled for at least
+    /// [`MIN_STALL_BEFORE_EVICTION`], or that began at least [`MIN_SLOW_TIME_BEFORE_EVICTION`] ago. Those
+    /// whose last byte is the oldest are evicted first. Requests with an incomplete body are rejected.
     ///
-    /// Otherwise, connections in the accept queue would wait for as long as each filling of the table with
-    /// incomplete requests lasts. The requests with an incomplete body are rejected.
-    fn evict_stalled_requests(&self, now: Instant) {
-        let full = self.is_full_after_evictions();
-        let needed = if full { self.limits.max_rejected.max(1) } else { 0 };
+    /// Otherwise, other clients would wait, or be rejected, for as long as incomplete requests last.
+    fn evict_stalled_requests(&self, count: usize, now: Instant) {
         self.evict_longest(
-            needed.max(self.excess_of_serving_limit()),
+            count,
             |status| {
                 let stalled_for = now.saturating_duration_since(status.last_progress_at);
                 let slow = MIN_SLOW_TIME_BEFORE_EVICTION;
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -169,6 +169,26 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Requests that arrive slowly were given up at the serving limit, although no other client needed a
+/// connection.
+#[tokio::test]
+async fn slow_requests_are_served_at_the_serving_limit_if_no_client_waits() {
+    let test = async {
+        let server = Server::start().await;
+        let mut kept = Vec::new();
+        for _ in 0..LIMITS.max_served - 1 {
+            kept.push(exchange(server.connect().await, REQUEST).await);
+        }
+        let mut client = server.connect().await;
+        for piece in REQUEST.chunks(REQUEST.len().div_ceil(3)) {
+            client.write_all(piece).await.unwrap();
+            sleep(10 * HEAD_INTERVAL).await;
+        }
+        exchange(client, b"").await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Clients that stopped within a body occupied their connections for over two seconds, while requests on new
 /// connections waited to be accepted.
 #[tokio::test]
