Count from the first of several reloads, and retry polls of pushed lists soon

After reloads in quick succession, the 4 s until changes count as announced were counted from the last SIGHUP; they now count from the first one for which no list has been received. With pushed lists and no grace for draining nodes, the polls of a discovery that is down were spread ever more, up to 4.5 s, although changes count as announced at its return; they are now repeated after 1/32 of the longest poll interval.

Comments and names of tests/discovery_polls.rs use 'announced', as the code does.

--- a/src/gateway/discovery/mod.rs
+++ b/src/gateway/discovery/mod.rs
@@ -107,13 +107,31 @@
     last_watch_timed_out: bool,
 }
 
-/// What the gateway has received from discovery so far.
+/// The lists that have been received from discovery.
 #[derive(Default)]
 struct ReceivedList {
     /// The version of the last list; `None` if there is none.
     version: Option<u64>,
     /// When the last list was received; `None` if discovery has sent none since the start of the gateway.
     received_at: Option<Instant>,
+    /// Time of the first reload since the last list was received; `None` if there has been none.
+    first_reload_at: Option<Instant>,
+}
+
+impl ReceivedList {
+    /// Records the time of the last reload, and returns that of the first one for which no list has been
+    /// received.
+    fn pending_reload(&mut self, last_reload_at: Option<Instant>) -> Option<Instant> {
+        let received_at = self.received_at;
+        let pending = last_reload_at.filter(|reloaded_at| received_at < Some(*reloaded_at));
+        self.first_reload_at = self.first_reload_at.or(pending);
+        self.first_reload_at
+    }
+
+    fn record(&mut self, version: u64, received_at: Instant) {
+        *self =
+            ReceivedList { version: Some(version), received_at: Some(received_at), first_reload_at: None };
+    }
 }
 
 /// The actor that polls discovery and forwards endpoint lists to the node registry and the router.
@@ -149,7 +167,7 @@
     ///
     /// Returns when `watch_commands` is closed.
     pub async fn run(self, mut watch_commands: mpsc::UnboundedReceiver<()>) {
-        let mut received = ReceivedList { version: self.publish_cached_list(), received_at: None };
+        let mut received = ReceivedList { version: self.publish_cached_list(), ..ReceivedList::default() };
         let mut reloads = self.discovery.clone();
         let mut polls_at_once = self.lists_are_pushed;
         loop {
@@ -212,8 +230,7 @@
             match polled {
                 Ok(list) => {
                     session.last_watch_timed_out = false;
-                    received.version = Some(list.version);
-                    received.received_at = Some(Instant::now());
+                    received.record(list.version, Instant::now());
                     self.publish(&list);
                 }
                 Err(PollError::WatchTimedOut) if !session.last_watch_timed_out => {
@@ -227,9 +244,8 @@
 
     /// Returns the poll that starts now. It is a watch if a list has been received; the first watch after a
     /// reload is short.
-    fn next_attempt(&self, target: DiscoveryTarget, received: &ReceivedList) -> PollAttempt {
-        let pending_reload_at =
-            target.reloaded_at.filter(|reloaded_at| received.received_at < Some(*reloaded_at));
+    fn next_attempt(&self, target: DiscoveryTarget, received: &mut ReceivedList) -> PollAttempt {
+        let pending_reload_at = received.pending_reload(target.reloaded_at);
         let wait = match pending_reload_at {
             Some(_) => self.watch_waits.after_reload,
             None => self.watch_waits.usual,
@@ -325,3 +341,6 @@
     *idle_connection = Some(connection);
     Ok(body)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/scheduler/endpoints.rs
+++ b/src/scheduler/endpoints.rs
@@ -67,9 +67,11 @@
         let period_us = (min_period_us << self.consecutive_failures.min(MAX_POLL_RETRY_PERIOD_DOUBLINGS))
             .min(max_poll_retry_period_us(settings));
         // Once the time has passed, the missed changes count as announced. Of the polls that fail after that,
-        // only the first is repeated at once.
+        // only the first is repeated at once, unless lists are pushed: changes then count as announced as
+        // soon as discovery can be reached.
         let remaining_us = next_poll_by_us.map(|by_us| by_us.saturating_sub(now_us));
-        let must_hurry = |remaining_us: &u64| *remaining_us > 0 || self.consecutive_failures == 0;
+        let repeats_at_once = !settings.endpoints_on_request || self.consecutive_failures == 0;
+        let must_hurry = |remaining_us: &u64| *remaining_us > 0 || repeats_at_once;
         let period_us = remaining_us
             .filter(must_hurry)
             .map_or(period_us, |remaining_us| period_us.min(remaining_us.max(shortest_period_us)));
--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -51,7 +51,7 @@
     pub started_at: Instant,
     /// Whether the request has both `Transfer-Encoding` and `Content-Length`.
     pub conflicting_length: bool,
-    /// The reception of the body.
+    /// Reports the end of the body to the connection, and whether the rest of the body is still awaited.
     pub body: BodyReception,
 }
 
--- a/tests/discovery_polls.rs
+++ b/tests/discovery_polls.rs
@@ -1,4 +1,4 @@
-//! Tests how soon gateways learn what discovery has to tell.
+//! Tests how soon gateways receive changes of the endpoint list.
 
 mod load;
 
@@ -18,9 +18,9 @@
 const RUNNING: usize = 10;
 /// A call waits for its turn at a crowded discovery for this long before it fails.
 const CROWDED_WAIT: Duration = Duration::from_secs(2);
-/// What discovery has to tell counts as told this long after SIGHUP, and a node that it reports as draining
-/// may be sent work for [`DRAIN_GRACE`] from then on.
-const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+/// A change counts as announced this long after SIGHUP, and a node that it reports as draining may be sent
+/// work for [`DRAIN_GRACE`] from then on.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(4);
 /// `rules.drainGraceUs` of the configuration.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
 /// `policyLimits.connectTimeoutUs` of the configuration, by which work may be delayed.
@@ -48,9 +48,9 @@
 }
 
 /// After a call that had waited at a crowded discovery, the next call came only when the changes already
-/// counted as told, and work was sent to a draining node after its grace period.
+/// counted as announced, and work was sent to a draining node after its grace period.
 #[tokio::test]
-async fn a_poll_after_a_reload_is_repeated_before_missed_changes_count_as_told() {
+async fn a_poll_after_a_reload_is_repeated_before_missed_changes_count_as_announced() {
     let test = async {
         let (node, _) = start_node(b"").await;
         let mut discoveries: Vec<(SocketAddr, Rc<CrowdedDiscovery>)> = Vec::new();
@@ -70,7 +70,7 @@
         for (gateway, (address, _)) in gateways.iter_mut().zip(&discoveries) {
             gateway.move_discovery(*address);
         }
-        let latest = (TOLD_AFTER_RELOAD + DRAIN_GRACE).saturating_sub(CONNECT_TIMEOUT);
+        let latest = (ANNOUNCEMENT_DELAY + DRAIN_GRACE).saturating_sub(CONNECT_TIMEOUT);
         sleep(latest).await;
         for (number, (_, discovery)) in discoveries.iter().enumerate() {
             let calls_at = discovery.calls_at.borrow();
@@ -84,7 +84,7 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// With pushed lists, what discovery has to tell counts as told at once, but the gateway never called
+/// Pushed lists count as announced at once, but the gateway never called
 /// discovery.
 #[tokio::test]
 async fn pushed_lists_are_watched_from_the_start_and_after_a_failure() {
--- a/tests/endpoint_polling.rs
+++ b/tests/endpoint_polling.rs
@@ -117,3 +117,24 @@
         );
     }
 }
+
+/// Pushed lists count as announced once discovery can be reached. Without a grace for draining nodes, a
+/// gateway polled a discovery that was down ever more rarely.
+#[test]
+fn failed_polls_of_pushed_lists_are_always_retried_soon() {
+    const FAILURES: usize = 8;
+    let settings = SchedulerSettings { endpoints_on_request: false, drain_grace_us: 0, ..settings() };
+    let latest_us = settings.max_poll_interval_us / 32 + 2 * TICK;
+    let mut now_us = SIMULATION_START_US;
+    let mut scheduler = scheduler(&settings, 0, SEED_OFFSET, now_us);
+    for _ in 0..FAILURES {
+        let failed = EndpointUpdate::PollFailed { announced_by_us: Some(now_us) };
+        let mut actions = deliver(&mut scheduler, now_us, &[Event::EndpointsUpdated(failed)]);
+        let failed_at_us = now_us;
+        while !actions.contains(&Action::WatchEndpoints) {
+            now_us += TICK;
+            actions = deliver(&mut scheduler, now_us, &[Event::TimerFired(0)]);
+            assert!(now_us - failed_at_us <= latest_us, "no poll for {} us", now_us - failed_at_us);
+        }
+    }
+}
